--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -6,6 +6,7 @@
 """
 from bisect import bisect_left, bisect_right
 from collections import deque
+from itertools import chain
 from math import comb, sqrt
 from statistics import NormalDist, fmean, median
 
@@ -21,11 +22,13 @@
 PATIENCE = 16 * SECOND // 5  # "on" no sooner than this after the stage's last listed start
 HOLD_Z, HOLD_MOST = 2.0, 3 * SECOND    # under a clock: hold above this z, so long a stage
 REFERENCE = 15               # times the least outcomes are kept of a build that gets no more hits
+LOOK_EVERY = SECOND // 5     # evidence is looked at so often at most
+IN_SIGHT = 18                # instances compared for a hit: work must not grow with the fleet
 LEAST_ERRORED = 3            # errored hits of the new build before they say anything
 # Ratios to figures of the runsheet.
 EVIDENCE_COLD_TIMES = 2.5    # evidence is kept this many times the longest warm-up
 ALIKE_COLD_TIMES = 0.5       # samples compare only with those sent within the same stretch of time, so long
-TICK_SHARE = 0.05            # the gateway looks around every so much of the shortest target latency
+TICK_SHARE = 0.05            # held hits look for room every so much of the shortest target latency
 HELD_SHARE = 0.15            # a hit is held for room at most this share of its target latency
 QUIET_SHARE = 0.5            # silent is who owes an answer so long, of the target latency, and says nothing
 USEFUL_SHARE = 0.9           # past this share of the target latency another forward is no use
@@ -68,19 +71,27 @@
     def __init__(self, host, now, seed, runsheet):
         self.host, self.sheet, self.chance = host, runsheet, Chance(seed)
         self.groups = {row["name"]: PathGroup(row) for row in runsheet["path_groups"]}
-        self.instances, self.order, self.builds, self.hits, self.held = {}, [], {}, {}, {}
+        self.instances, self.order, self.ids, self.cold = {}, [], [], []
+        self.builds, self.hits, self.held = {}, {}, {}
         self.taken = {}                                # exposure ledger name -> times of hits taken
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.turn, self.kept_keys = "", {}             # last id chosen; key -> build that keeps it
+        self.due, self.fresh, self.said = FOREVER, False, "fine"    # next wake-up; evidence not yet looked at
         self.list_heard, self.list_asked, self.list_wait = now, now - FOREVER, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
         self.shortest = min(g.target for g in self.groups.values())
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         self.level = NormalDist().inv_cdf(1 - LEVEL / max(1, runsheet.get("gateways", 1)))
-        host.wake(0, self.tick)
+        self.wake_by(now + 1 + self.chance.below(LOOK_EVERY), now)    # not all gateways at once
         self.follow_list(now)
 
+    def wake_by(self, at, now):
+        """One timer, for whatever is due first: a gateway with nothing to do sleeps."""
+        if at < self.due:
+            self.due = max(at, now + 1)
+            self.host.wake(0, self.due - now)
+
     # --- the list of instances -----------------------------------------------------------------------------
 
     def follow_list(self, now):
@@ -88,8 +99,10 @@
         heard = self.list_asked if self.list_wait else self.list_heard
         wait = self.list_wait or self.sheet.get("ask_within", 10 * SECOND) // 3
         if self.sheet.get("list_by") == "asking" and now - max(self.list_asked, heard) >= wait:
-            self.list_asked = now
+            self.list_asked = heard = now
             self.host.watch_list()
+        if self.sheet.get("list_by") == "asking":
+            self.wake_by(max(self.list_asked, heard) + wait, now)
 
     def on_list_error(self, now):
         most = self.sheet.get("ask_within", 10 * SECOND) // 3
@@ -110,6 +123,10 @@
             else:
                 known.state = row["state"]
         self.order = sorted((i for i in self.instances.values() if i.state == "up"), key=lambda i: i.id)
+        self.cold = [i for i in self.order if i.age(now) < self.cold_time]
+        self.ids = [i.id for i in self.order]
+        if not self.turn and self.ids:
+            self.turn = self.ids[self.chance.below(len(self.ids))]
         self.place_held(now)
 
     def build(self, number):
@@ -127,9 +144,9 @@
     def fill_cold_budget(self, now):
         """Each hit taken allows a cold instance a part of one; all parts sum to what it can bear."""
         part = self.sheet.get("overload_factor", 1) * COLD_CAUTION / max(1, len(self.order))
-        for instance in self.order:
-            if instance.age(now) < self.cold_time:
-                instance.tokens = min(2.0, instance.tokens + part * self.warmth(instance, now))
+        self.cold = [i for i in self.cold if i.age(now) < self.cold_time]
+        for instance in self.cold:
+            instance.tokens = min(2.0, instance.tokens + part * self.warmth(instance, now))
 
     def learn(self, instance, forward, group, ending, took, report, now):
         """Limits in flight, pace, and who leaves the rotation."""
@@ -215,6 +232,10 @@
         build.samples.setdefault(group.name, deque()).append(sample)
         errored, hits = build.errored.get(group.name, (0, 0))
         build.errored[group.name] = errored + sample.errored, hits + 1
+        against = sample.errored or sample.latency > MARGIN * group.usual or self.said != "fine"
+        if build is self.newest and against and not self.fresh:
+            self.fresh = True
+            self.wake_by(max(sample.at, self.looked + LOOK_EVERY), sample.at)
 
     def window(self, build, group, now):
         """Recent samples; where no new ones come, the last that a build gave stay as its reference."""
@@ -314,7 +335,8 @@
         told = self.build(build)
         before = self.cap_of(told)
         if (told, stage) != (self.newest, self.stage):
-            self.held_time = 0
+            self.held_time, self.fresh = 0, True
+        self.wake_by(now + self.chance.below(LOOK_EVERY), now)
         self.newest, self.stage, self.phase, self.cap, self.stage_began = told, stage, phase, cap, now - age
         if phase != "released" and (before is None or cap < before):
             told.counted_from = now + self.sheet.get("drain_grace", 0)
@@ -334,7 +356,9 @@
         build, passed, self.looked = self.newest, now - self.looked, now
         if build is None or self.phase not in ("trial", "released") or build.earlier is None:
             return
-        says = "fail" if build.condemned else self.look(build, now)
+        if self.fresh:
+            self.said, self.fresh = self.look(build, now), False
+        says = "fail" if build.condemned else self.said
         build.condemned = says == "fail"
         seen = sum(len(samples) for samples in build.samples.values())
         beside = self.sheet.get("layout") == "beside"  # in place there is no room to gain
@@ -409,14 +433,18 @@
 
     def pick(self, hit, now):
         """The rotation: of the instances that fit and are about as free as the freest, the next in turn."""
-        tried = {f.instance.id for f in hit.forwards}
-        shut = {b.number for b in self.builds.values() if not self.exposure_allows(b, hit.group, now)}
-        fit = [i for i in self.order if i.build.number not in shut and self.fits(hit, i, now)]
-        fit = [i for i in fit if i.id not in tried] or fit
-        crowd = {i: self.crowding(i, now) for i in fit}
-        least = min(crowd.values(), default=0)
-        free = [i for i in fit if crowd[i] <= least + 0.5]
-        chosen = next((i for i in free if i.id > self.turn), free[0] if free else None)
+        tried = [f.instance for f in hit.forwards]
+        open_to, fit, after = {}, [], bisect_right(self.ids, self.turn)
+        for i in chain(self.order[after:], self.order[:after]):
+            if i.build not in open_to:
+                open_to[i.build] = self.exposure_allows(i.build, hit.group, now)
+            if open_to[i.build] and self.fits(hit, i, now):
+                fit.append(i)
+                if len(fit) == IN_SIGHT:
+                    break
+        fit = [i for i in fit if i not in tried] or fit
+        crowd = [self.crowding(i, now) for i in fit]
+        chosen = next((i for i, c in zip(fit, crowd, strict=True) if c <= min(crowd) + 0.5), None)
         self.turn = chosen.id if chosen else self.turn
         return chosen
 
@@ -437,13 +465,14 @@
         instance = self.pick(hit, now)
         self.move(hit, HELD)
         if instance is None:
-            return
+            return self.wake_by(now + self.tick, now)
         hit.forwards.append(Forward(instance, now))
         hit.open += 1
         instance.out += 1
         instance.tokens -= 1
         self.enter(instance.build.sent, hit.group, now)
         self.move(hit, OUT)
+        self.wake_by(now + int(QUIET_SHARE * hit.group.target) + 1, now)
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
     def urgency(self, hit):
@@ -507,6 +536,8 @@
         for hit in list(self.hits.values()):
             last = hit.forwards[-1] if hit.state == OUT else None
             overdue = last and now - last.sent > QUIET_SHARE * hit.group.target
+            if last and not overdue:
+                self.wake_by(last.sent + int(QUIET_SHARE * hit.group.target) + 1, now)
             if overdue and last.instance.heard_at < last.sent:
                 self.bench(last.instance, now)
                 if not last.dropped and self.sheet.get("may_cancel") and hit.group.kind != "mutating":
@@ -514,12 +545,17 @@
                     self.host.cancel(hit.id, len(hit.forwards) - 1)
 
     def on_wake(self, now, token):
-        self.host.wake(0, self.tick)
+        if now < self.due:
+            return                                     # a timer that an earlier one has replaced
+        self.due = FOREVER
         self.watch_silent(now)
         self.place_held(now, all_of_them=True)
         self.follow_list(now)
-        if now - self.looked >= SECOND // 5:
+        if now - self.looked >= LOOK_EVERY:
             self.vote(now)
+        voting = self.phase in ("trial", "released") and self.newest and self.newest.condemned
+        if voting or self.phase == "trial" or self.cast_answer is None or self.fresh:
+            self.wake_by(self.looked + LOOK_EVERY, now)
 
     def on_probed(self, now, id, ending, took, report):
         """No instance is probed so far."""
@@ -527,6 +563,7 @@
     def on_tally(self, now, build, group, count, errored, mean, age):
         """The platform's count, in a sample of all gateways' forwards."""
         known = self.build(build)
+        self.fresh = True
         known.tallied = known.tallied[0] + errored, known.tallied[1] + count
 
     def on_wrong(self, now, id, group, age):
