--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -37,6 +37,7 @@
 BRISK_SHARE = 0.3            # of the target latency: an instance that takes longer has its limit cut
 TRIAL_LEAN, CONDEMNED_LEAN = 3, 100    # hits: a build on trial counts as emptier, a condemned one fuller
 TRUST_LEAN, TRUST_LEAST = 2, 5         # and more, with so many times the least sample and nothing against it
+SPARE_SHARE, SPARE_MOST = 0.1, 30      # repeats of called-off hits: for each delivered one; saved up by all
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 
 TAKEN, HELD, OUT = "taken", "held", "out"
@@ -77,6 +78,7 @@
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.turn, self.kept_keys = "", {}             # last id chosen; key -> build that keeps it
+        self.spare = self.chance.below(SECOND) / SECOND            # repeats that may be sent
         self.due, self.fresh, self.said = FOREVER, False, "fine"    # next wake-up; evidence not yet looked at
         self.list_heard, self.list_asked, self.list_wait = now, now - FOREVER, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
@@ -155,6 +157,8 @@
         if "inflight" in report:
             instance.others = max(0.0, report["inflight"] - instance.out - 1)
         if ending == "ok":
+            most = 1 + SPARE_MOST / self.sheet.get("gateways", 1)
+            self.spare = min(most, self.spare + SPARE_SHARE)
             group.usual += (took - group.usual) * (0.05 if group.usual else 1)
             instance.pace += (took / max(1, group.usual) - instance.pace) * 0.2
         if ending in ("cancelled", "moot"):
@@ -532,7 +536,9 @@
             self.move(hit, GONE)
 
     def watch_silent(self, now):
-        """Calls off what a silent instance owes, if it may be repeated: against vanished, cut-off ones."""
+        """Calls off what a silent instance owes, if it may be repeated: against vanished, cut-off ones. To a
+        gateway with one hit there busy looks like silent, and the work goes on, so such repeats are rationed:
+        against a fleet that drowns in its own repeats. Harm: many silent at once are waited for."""
         for hit in list(self.hits.values()):
             last = hit.forwards[-1] if hit.state == OUT else None
             overdue = last and now - last.sent > QUIET_SHARE * hit.group.target
@@ -540,8 +546,10 @@
                 self.wake_by(last.sent + int(QUIET_SHARE * hit.group.target) + 1, now)
             if overdue and last.instance.heard_at < last.sent:
                 self.bench(last.instance, now)
-                if not last.dropped and self.sheet.get("may_cancel") and hit.group.kind != "mutating":
+                if self.spare >= 1 and not last.dropped and self.sheet.get("may_cancel") \
+                        and hit.group.kind != "mutating":
                     last.dropped = True
+                    self.spare -= 1
                     self.host.cancel(hit.id, len(hit.forwards) - 1)
 
     def on_wake(self, now, token):
