--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -32,7 +32,7 @@
 HELD_SHARE = 0.15            # a hit is held for room at most this share of its target latency
 QUIET_SHARE = 0.5            # silent is who owes an answer so long, of the target latency, and says nothing
 USEFUL_SHARE = 0.9           # past this share of the target latency another forward is no use
-COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
+COLD_CAUTION = 0.45          # of what a cold instance could be sent, our guess of its capacity being rough
 LIMIT_FIRST, LIMIT_CUT = 4, 0.7        # in flight an instance: grows by one, is cut by a share
 BRISK_SHARE = 0.3            # of the target latency: an instance that takes longer has its limit cut
 TRIAL_LEAN, CONDEMNED_LEAN = 3, 100    # hits: a build on trial counts as emptier, a condemned one fuller
@@ -121,7 +121,8 @@
                 self.instances.pop(row["id"], None)
             elif known is None or known.started != row["started"] or known.build.number != row["build"]:
                 # a new instance, a restart, or an id used again: nothing known of the last one holds
-                self.instances[row["id"]] = Instance(row, self.build(row["build"]), LIMIT_FIRST)
+                made = self.instances[row["id"]] = Instance(row, self.build(row["build"]), LIMIT_FIRST)
+                made.tokens = self.chance.below(SECOND) / SECOND
             else:
                 known.state = row["state"]
         self.order = sorted((i for i in self.instances.values() if i.state == "up"), key=lambda i: i.id)
@@ -144,11 +145,13 @@
         return 1.0 if age >= self.cold_time else least + (1 - least) * max(0, age) / self.cold_time
 
     def fill_cold_budget(self, now):
-        """Each hit taken allows a cold instance a part of one; all parts sum to what it can bear."""
+        """Each hit delivered allows a cold instance a part of one, from a point drawn by chance on; all parts
+        sum to what it can bear. One not used by the next is lost: guards against hundreds of gateways that
+        save them up to spend them together and, as it counts delivered hits, against bursts and retries."""
         part = self.sheet.get("overload_factor", 1) * COLD_CAUTION / max(1, len(self.order))
         self.cold = [i for i in self.cold if i.age(now) < self.cold_time]
         for instance in self.cold:
-            instance.tokens = min(2.0, instance.tokens + part * self.warmth(instance, now))
+            instance.tokens = instance.tokens % 1 + part * self.warmth(instance, now)
 
     def learn(self, instance, forward, group, ending, took, report, now):
         """Limits in flight, pace, and who leaves the rotation."""
@@ -159,6 +162,7 @@
         if ending == "ok":
             most = 1 + SPARE_MOST / self.sheet.get("gateways", 1)
             self.spare = min(most, self.spare + SPARE_SHARE)
+            self.fill_cold_budget(now)
             group.usual += (took - group.usual) * (0.05 if group.usual else 1)
             instance.pace += (took / max(1, group.usual) - instance.pace) * 0.2
         if ending in ("cancelled", "moot"):
@@ -406,7 +410,6 @@
     def on_hit(self, now, id, group, customer, key, left, cost, again):
         hit = self.hits[id] = Hit(id, self.groups[group], key, again, now, left, TAKEN)
         self.enter(self.taken, hit.group, now)
-        self.fill_cold_budget(now)
         self.place(hit, now)
 
     def fits(self, hit, instance, now):
