--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -436,7 +436,7 @@
             pace = 1.0                                 # a slow build must not hide by getting no hits
             lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.sheet.get("gateways", 1))
             lean -= TRUST_LEAN * instance.build.trusted
-        return (instance.out + instance.others + 1) * pace + lean
+        return (instance.out + instance.others + 1) * pace / self.warmth(instance, now) + lean
 
     def pick(self, hit, now):
         """The rotation: of the instances that fit and are about as free as the freest, the next in turn."""
