--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -79,6 +79,7 @@
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.turn, self.kept_keys = "", {}             # last id chosen; key -> build that keeps it
         self.spare = self.chance.below(SECOND) / SECOND            # repeats that may be sent
+        self.lag = 0.0                                 # mean latency of all hits, of the target latency
         self.due, self.fresh, self.said = FOREVER, False, "fine"    # next wake-up; evidence not yet looked at
         self.list_heard, self.list_asked, self.list_wait = now, now - FOREVER, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
@@ -169,6 +170,7 @@
             return
         lag = took / group.target if ending == "ok" else max(1.0, took / group.target)
         instance.lag += (min(2.0, lag) - instance.lag) * 0.2
+        self.lag += (min(2.0, lag) - self.lag) * 0.05
         if instance.lag > BRISK_SHARE and now - instance.cut_at > BRISK_SHARE * self.shortest:
             instance.limit, instance.cut_at = max(1, int(instance.limit * LIMIT_CUT)), now
         elif instance.lag <= BRISK_SHARE and instance.out + 1 >= instance.limit:
@@ -427,8 +429,12 @@
         return not lives or instance.build.number >= kept.number
 
     def crowding(self, instance, now):
-        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs."""
-        lean = self.sheet.get("crossing_price", 0) * 25 if instance.zone != self.sheet.get("zone") else 0
+        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs, but
+        not while answers come slowly: guards against a zone that is loaded more than the others, which a
+        gateway with a hit now and then cannot see by its own counts."""
+        lean = 0
+        if instance.zone != self.sheet.get("zone") and self.lag < BRISK_SHARE:
+            lean = self.sheet.get("crossing_price", 0) * 25
         pace = min(10.0, instance.pace) if instance.pace > 1.5 else 1.0
         if instance.build.condemned:
             lean += CONDEMNED_LEAN
