--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -37,6 +37,7 @@
 BRISK_SHARE = 0.3            # of the target latency: an instance that takes longer has its limit cut
 TRIAL_LEAN, CONDEMNED_LEAN = 3, 100    # hits: a build on trial counts as emptier, a condemned one fuller
 TRUST_LEAN, TRUST_LEAST = 2, 5         # and more, with so many times the least sample and nothing against it
+ADMIT_STEP, ADMIT_CUT = 0.1, 0.8       # the share of hits admitted grows by a step and is cut by a share
 SPARE_SHARE, SPARE_MOST = 0.1, 30      # repeats of called-off hits: for each delivered one; saved up by all
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 
@@ -79,7 +80,8 @@
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.turn, self.kept_keys = "", {}             # last id chosen; key -> build that keeps it
         self.spare = self.chance.below(SECOND) / SECOND            # repeats that may be sent
-        self.lag = 0.0                                 # mean latency of all hits, of the target latency
+        self.admitted = 1.0                            # share of the hits that are not bounced at once
+        self.lag, self.later = 0.0, {}                 # mean latency of the target; a zone's above that
         self.due, self.fresh, self.said = FOREVER, False, "fine"    # next wake-up; evidence not yet looked at
         self.list_heard, self.list_asked, self.list_wait = now, now - FOREVER, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
@@ -171,6 +173,11 @@
         lag = took / group.target if ending == "ok" else max(1.0, took / group.target)
         instance.lag += (min(2.0, lag) - instance.lag) * 0.2
         self.lag += (min(2.0, lag) - self.lag) * 0.05
+        slow = ending == "full" or lag > QUIET_SHARE
+        self.admitted = max(ADMIT_STEP, self.admitted * ADMIT_CUT) if slow else min(1, self.admitted + ADMIT_STEP)
+        self.later = {zone: x * 0.99 for zone, x in self.later.items()}
+        later = self.later.get(instance.zone, 0.0)
+        self.later[instance.zone] = later + (min(2.0, lag) - self.lag - later) * 0.05
         if instance.lag > BRISK_SHARE and now - instance.cut_at > BRISK_SHARE * self.shortest:
             instance.limit, instance.cut_at = max(1, int(instance.limit * LIMIT_CUT)), now
         elif instance.lag <= BRISK_SHARE and instance.out + 1 >= instance.limit:
@@ -429,12 +436,13 @@
         return not lives or instance.build.number >= kept.number
 
     def crowding(self, instance, now):
-        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs, but
-        not while answers come slowly: guards against a zone that is loaded more than the others, which a
-        gateway with a hit now and then cannot see by its own counts."""
-        lean = 0
-        if instance.zone != self.sheet.get("zone") and self.lag < BRISK_SHARE:
-            lean = self.sheet.get("crossing_price", 0) * 25
+        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs, less
+        how much later the own one answers: guards against a zone loaded more than the others, which a gateway
+        with a hit now and then cannot see by its own counts."""
+        lean, own = 0, self.sheet.get("zone")
+        if instance.zone != own:
+            later = self.later.get(own, 0) - self.later.get(instance.zone, 0)
+            lean = max(0, self.sheet.get("crossing_price", 0) * 25 - later * 2 / BRISK_SHARE)
         pace = min(10.0, instance.pace) if instance.pace > 1.5 else 1.0
         if instance.build.condemned:
             lean += CONDEMNED_LEAN
@@ -470,10 +478,18 @@
         remembered = hit.risky and now - hit.risky.sent < hit.group.repeat_window - self.tick
         return not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
 
+    def admits(self, hit):
+        """The limit in flight of a gateway that has a hit now and then: a share of them is bounced at once, the
+        clients' repeats and the least benefit first. It grows by a step for a brisk answer and is cut by a
+        share for a late or full one. Guards against a jam that hundreds of gateways keep up together."""
+        least = min(g.benefit / max(1, g.usual) for g in self.groups.values())
+        low = hit.again or hit.group.benefit / max(1, hit.group.usual) <= least
+        return self.chance.below(1000) < 1000 * self.admitted ** (1.5 if low else 0.75)
+
     def place(self, hit, now):
         """Forward the hit, hold it for room, or give it up at once."""
         late = not hit.forwards and now - hit.arrived > HELD_SHARE * hit.group.target
-        if late or not self.may_forward(hit, now):
+        if late or not self.may_forward(hit, now) or hit.state == TAKEN and not self.admits(hit):
             return self.give_up(hit, now)
         instance = self.pick(hit, now)
         self.move(hit, HELD)
