--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -173,8 +173,8 @@
         lag = took / group.target if ending == "ok" else max(1.0, took / group.target)
         instance.lag += (min(2.0, lag) - instance.lag) * 0.2
         self.lag += (min(2.0, lag) - self.lag) * 0.05
-        slow = ending == "full" or lag > QUIET_SHARE
-        self.admitted = max(ADMIT_STEP, self.admitted * ADMIT_CUT) if slow else min(1, self.admitted + ADMIT_STEP)
+        grown = min(1.0, self.admitted + ADMIT_STEP)
+        self.admitted = grown if lag < USEFUL_SHARE else max(ADMIT_STEP, self.admitted * ADMIT_CUT)
         self.later = {zone: x * 0.99 for zone, x in self.later.items()}
         later = self.later.get(instance.zone, 0.0)
         self.later[instance.zone] = later + (min(2.0, lag) - self.lag - later) * 0.05
@@ -436,9 +436,9 @@
         return not lives or instance.build.number >= kept.number
 
     def crowding(self, instance, now):
-        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs, less
-        how much later the own one answers: guards against a zone loaded more than the others, which a gateway
-        with a hit now and then cannot see by its own counts."""
+        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs,
+        less how much later the own one answers: guards against a zone loaded more than the others, which a
+        gateway with a hit now and then cannot see by its own counts."""
         lean, own = 0, self.sheet.get("zone")
         if instance.zone != own:
             later = self.later.get(own, 0) - self.later.get(instance.zone, 0)
@@ -479,9 +479,9 @@
         return not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
 
     def admits(self, hit):
-        """The limit in flight of a gateway that has a hit now and then: a share of them is bounced at once, the
-        clients' repeats and the least benefit first. It grows by a step for a brisk answer and is cut by a
-        share for a late or full one. Guards against a jam that hundreds of gateways keep up together."""
+        """The limit in flight of a gateway with a hit now and then: a share of them is bounced at once, the
+        clients' repeats and the least benefit first. It grows by a step for an answer in time and is cut by
+        a share for a late or full one. Guards against a jam that hundreds of gateways keep up together."""
         least = min(g.benefit / max(1, g.usual) for g in self.groups.values())
         low = hit.again or hit.group.benefit / max(1, hit.group.usual) <= least
         return self.chance.below(1000) < 1000 * self.admitted ** (1.5 if low else 0.75)
