--- a/cobaltpond/records.py
+++ b/cobaltpond/records.py
@@ -62,6 +62,7 @@
         self.id, self.group, self.key, self.again = id, group, key, again
         self.arrived, self.deadline = now, now + left
         self.state, self.forwards, self.open = state, [], 0
+        self.asked, self.free = [], []                 # instances probed for it, and those that answered
         self.risky = None                              # the first forward that may have run
 
 
--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -38,6 +38,7 @@
 TRIAL_LEAN, CONDEMNED_LEAN = 3, 100    # hits: a build on trial counts as emptier, a condemned one fuller
 TRUST_LEAN, TRUST_LEAST = 2, 5         # and more, with so many times the least sample and nothing against it
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.8       # the share of hits admitted grows by a step and is cut by a share
+THIN = 10                    # more gateways than this: own counts show little of what is out
 SPARE_SHARE, SPARE_MOST = 0.1, 30      # repeats of called-off hits: for each delivered one; saved up by all
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 
@@ -79,6 +80,7 @@
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.turn, self.kept_keys = "", {}             # last id chosen; key -> build that keeps it
+        self.thin = runsheet.get("gateways", 1) > THIN
         self.spare = self.chance.below(SECOND) / SECOND            # repeats that may be sent
         self.admitted = 1.0                            # share of the hits that are not bounced at once
         self.lag, self.later = 0.0, {}                 # mean latency of the target; a zone's above that
@@ -454,7 +456,7 @@
 
     def pick(self, hit, now):
         """The rotation: of the instances that fit and are about as free as the freest, the next in turn."""
-        tried = [f.instance for f in hit.forwards]
+        tried = [f.instance for f in hit.forwards] + hit.asked
         open_to, fit, after = {}, [], bisect_right(self.ids, self.turn)
         for i in chain(self.order[after:], self.order[:after]):
             if i.build not in open_to:
@@ -491,7 +493,9 @@
         late = not hit.forwards and now - hit.arrived > HELD_SHARE * hit.group.target
         if late or not self.may_forward(hit, now) or hit.state == TAKEN and not self.admits(hit):
             return self.give_up(hit, now)
-        instance = self.pick(hit, now)
+        if self.asks(hit, now):
+            return
+        instance = self.answered(hit, now) or self.pick(hit, now)
         self.move(hit, HELD)
         if instance is None:
             return self.wake_by(now + self.tick, now)
@@ -504,6 +508,28 @@
         self.wake_by(now + int(QUIET_SHARE * hit.group.target) + 1, now)
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
+    def asks(self, hit, now):
+        """A thin gateway knows nothing of the load: it probes the next two in turn, and the one that answers, or
+        answers with less load, gets the hit; no answer in time leaves it to the rotation. Guards against
+        crowded, slow and silent instances. Harm: a probe's price, and reports that lie, as far as they go."""
+        if hit.forwards or not (self.thin and self.sheet.get("may_probe")):
+            return False
+        if hit.state == TAKEN:
+            while len(hit.asked) < 2 and (instance := self.pick(hit, now)):
+                hit.asked.append(instance)
+                self.host.probe(instance.id)
+            if hit.asked:
+                self.move(hit, HELD)
+                self.wake_by(now + self.tick, now)
+        waits = len(hit.free) < len(hit.asked) and now - hit.arrived < self.tick
+        return waits or bool(hit.asked) and not hit.free and now - hit.arrived < 2 * self.tick
+
+    def answered(self, hit, now):
+        """Of the probed instances that answered and still fit, the freest."""
+        free = [i for i in hit.free if self.fits(hit, i, now) and self.exposure_allows(i.build, hit.group, now)]
+        hit.asked, hit.free = [], []
+        return min(free, key=lambda i: self.crowding(i, now), default=None)
+
     def urgency(self, hit):
         """First tries before repeats, most benefit for the work first, then the newest: in an overload the
         oldest are the ones that will be late anyway."""
@@ -591,7 +617,15 @@
             self.wake_by(self.looked + LOOK_EVERY, now)
 
     def on_probed(self, now, id, ending, took, report):
-        """No instance is probed so far."""
+        instance = self.instances.get(id)
+        if instance is None or ending != "ok":
+            return
+        instance.heard_at = now
+        if "inflight" in report:
+            instance.others = max(0.0, report["inflight"] - instance.out)
+        for hit in [h for h in self.held.values() if instance in h.asked and instance not in h.free]:
+            hit.free.append(instance)
+            self.place(hit, now)
 
     def on_tally(self, now, build, group, count, errored, mean, age):
         """The platform's count, in a sample of all gateways' forwards."""
