A hit held for probes always has a timer; errors cut no admission

Cause: no timer was set while both probes were out beyond the first tick; hits were lost. A quickly failing instance had cut the share of hits admitted.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -176,7 +176,8 @@
         instance.lag += (min(2.0, lag) - instance.lag) * 0.2
         self.lag += (min(2.0, lag) - self.lag) * 0.05
         grown = min(1.0, self.admitted + ADMIT_STEP)
-        self.admitted = grown if lag < USEFUL_SHARE else max(ADMIT_STEP, self.admitted * ADMIT_CUT)
+        if ending != "error":                          # a failing instance is no jam
+            self.admitted = grown if lag < USEFUL_SHARE else max(ADMIT_STEP, self.admitted * ADMIT_CUT)
         self.later = {zone: x * 0.99 for zone, x in self.later.items()}
         later = self.later.get(instance.zone, 0.0)
         self.later[instance.zone] = later + (min(2.0, lag) - self.lag - later) * 0.05
@@ -509,8 +510,8 @@
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
     def asks(self, hit, now):
-        """A thin gateway knows nothing of the load: it probes the next two in turn, and the one that answers, or
-        answers with less load, gets the hit; no answer in time leaves it to the rotation. Guards against
+        """A thin gateway knows nothing of the load: it probes the next two in turn; the one that answers, or
+        answers with less load, gets the hit, and with no answer in time the rotation goes on. Guards against
         crowded, slow and silent instances. Harm: a probe's price, and reports that lie, as far as they go."""
         if hit.forwards or not (self.thin and self.sheet.get("may_probe")):
             return False
@@ -520,13 +521,16 @@
                 self.host.probe(instance.id)
             if hit.asked:
                 self.move(hit, HELD)
-                self.wake_by(now + self.tick, now)
-        waits = len(hit.free) < len(hit.asked) and now - hit.arrived < self.tick
-        return waits or bool(hit.asked) and not hit.free and now - hit.arrived < 2 * self.tick
+        patience = self.tick * (1 if hit.free else 2)
+        waits = len(hit.free) < len(hit.asked) and now - hit.arrived < patience
+        if waits:
+            self.wake_by(hit.arrived + patience, now)
+        return waits
 
     def answered(self, hit, now):
         """Of the probed instances that answered and still fit, the freest."""
-        free = [i for i in hit.free if self.fits(hit, i, now) and self.exposure_allows(i.build, hit.group, now)]
+        free = [i for i in hit.free
+                if self.fits(hit, i, now) and self.exposure_allows(i.build, hit.group, now)]
         hit.asked, hit.free = [], []
         return min(free, key=lambda i: self.crowding(i, now), default=None)
 
