Base level and least sample follow from the votes that send a build back

Where 14 or 27 votes are needed, as many gateways may err by themselves; before, none of several hundred could reach the level at size.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -7,7 +7,7 @@
 from bisect import bisect_left, bisect_right
 from collections import deque
 from itertools import chain
-from math import comb, sqrt
+from math import comb, exp, factorial, sqrt
 from statistics import NormalDist, fmean, median
 
 from cobaltpond.records import FOREVER, Build, Chance, Forward, Hit, Instance, PathGroup, Sample
@@ -17,7 +17,9 @@
 LEVEL = 0.0001               # divided by the number of gateways (open: far below 0.01, for we look often)
 MARGIN = 1.8                 # new median over old median (open)
 ALONE_MARGIN, ALONE_LEAST = 2.0, 4     # the margin, and times the least sample, once the earlier one is gone
-LEAST = 8                    # outcomes a build in a path group before its latencies are ranked (open)
+LOOKS = 3                    # so many times as often does a look err as we look at the same hits again (open)
+LEAST = 8                    # outcomes a build in a path group before its latencies are ranked (open); by
+#                              the root of the votes that it takes fewer, as no gateway decides alone then
 YOUNG = 2 * SECOND           # an instance younger than this gives no sample
 PATIENCE = 16 * SECOND // 5  # "on" no sooner than this after the stage's last listed start
 HOLD_Z, HOLD_MOST = 2.0, 3 * SECOND    # under a clock: hold above this z, so long a stage
@@ -70,6 +72,15 @@
     return ways / comb(n + m, every)
 
 
+def base_level(votes):
+    """The level before it is divided by the gateways. Where one vote sends a build back it is LEVEL; where it
+    takes many, so many may err by themselves that the chance that enough err together is still LEVEL."""
+    level = LEVEL
+    while 1 - exp(-level * 1.1) * sum((level * 1.1) ** n / factorial(n) for n in range(votes)) < LEVEL:
+        level *= 1.1
+    return max(LEVEL, level / LOOKS)
+
+
 class Gateway:
     def __init__(self, host, now, seed, runsheet):
         self.host, self.sheet, self.chance = host, runsheet, Chance(seed)
@@ -89,7 +100,10 @@
         self.cold_time = runsheet.get("cold_time", 0)
         self.shortest = min(g.target for g in self.groups.values())
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
-        self.level = NormalDist().inv_cdf(1 - LEVEL / max(1, runsheet.get("gateways", 1)))
+        votes, gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
+        self.level = NormalDist().inv_cdf(1 - base_level(votes) / gateways)
+        self.strict = NormalDist().inv_cdf(1 - LEVEL / gateways)       # for what all gateways see alike
+        self.least = max(LEAST_ERRORED, round(LEAST / sqrt(votes)))
         self.wake_by(now + 1 + self.chance.below(LOOK_EVERY), now)    # not all gateways at once
         self.follow_list(now)
 
@@ -292,8 +306,8 @@
         cases.append(([sum(row) for row in zip(*counts, strict=True)], *(sum(rows, []) for rows in lists)))
         for name, (counts, new, old, pairs, alone) in zip([*self.groups, "all"], cases, strict=True):
             says += [self.errors_say(build, name, counts, new, old),
-                     self.latencies_say(build, name, pairs, MARGIN, LEAST),
-                     self.latencies_say(build, name, alone, ALONE_MARGIN, ALONE_LEAST * LEAST)]
+                     self.latencies_say(build, name, pairs, MARGIN, self.least),
+                     self.latencies_say(build, name, alone, ALONE_MARGIN, ALONE_LEAST * self.least)]
         if sum(errored for errored, _ in build.errored.values()) >= 2:    # it counts silent and full ones too
             says.append(self.errors_say(build, "platform", build.tallied + build.earlier.tallied))
         return "fail" if "fail" in says else "suspect" if "suspect" in says else "fine"
