Cold instances with budget go first; strict level once the earlier build is gone

Cause: in the last stage cold instances counted as fuller and stood idle while warm ones queued; and there all gateways err alike, so many votes are no safeguard.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -42,6 +42,7 @@
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.8       # the share of hits admitted grows by a step and is cut by a share
 THIN = 10                    # more gateways than this: own counts show little of what is out
 SPARE_SHARE, SPARE_MOST = 0.1, 30      # repeats of called-off hits: for each delivered one; saved up by all
+COLD_LEAN = 1                # hits: a cold instance whose budget allows one counts as emptier
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 
 TAKEN, HELD, OUT = "taken", "held", "out"
@@ -102,7 +103,7 @@
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         votes, gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.level = NormalDist().inv_cdf(1 - base_level(votes) / gateways)
-        self.strict = NormalDist().inv_cdf(1 - LEVEL / gateways)       # for what all gateways see alike
+        self.strict = NormalDist().inv_cdf(1 - LEVEL / gateways)       # where all gateways would err alike
         self.least = max(LEAST_ERRORED, round(LEAST / sqrt(votes)))
         self.wake_by(now + 1 + self.chance.below(LOOK_EVERY), now)    # not all gateways at once
         self.follow_list(now)
@@ -306,24 +307,24 @@
         cases.append(([sum(row) for row in zip(*counts, strict=True)], *(sum(rows, []) for rows in lists)))
         for name, (counts, new, old, pairs, alone) in zip([*self.groups, "all"], cases, strict=True):
             says += [self.errors_say(build, name, counts, new, old),
-                     self.latencies_say(build, name, pairs, MARGIN, self.least),
-                     self.latencies_say(build, name, alone, ALONE_MARGIN, ALONE_LEAST * self.least)]
+                     self.latencies_say(build, name, pairs, MARGIN, self.least, self.level),
+                     self.latencies_say(build, name, alone, ALONE_MARGIN, ALONE_LEAST * LEAST, self.strict)]
         if sum(errored for errored, _ in build.errored.values()) >= 2:    # it counts silent and full ones too
             says.append(self.errors_say(build, "platform", build.tallied + build.earlier.tallied))
         return "fail" if "fail" in says else "suspect" if "suspect" in says else "fine"
 
-    def latencies_say(self, build, name, strata, margin, least):
+    def latencies_say(self, build, name, strata, margin, least, level):
         """The design's test: the margin on the medians, then z against the level."""
         times = [x / max(1, median(ref)) for some, ref in strata for x in some]
         if min(len(times), sum(len(ref) for _, ref in strata)) < least or median(times) <= margin:
             return "fine"
-        return self.weigh(rank_z(strata), f"build {build.number} {name}: {median(times):.2f} times "
-                                          f"the earlier median, {len(times)} hits in {len(strata)} strata")
+        return self.weigh(rank_z(strata), level, f"build {build.number} {name}: {median(times):.2f} times "
+                          f"the earlier median, {len(times)} hits in {len(strata)} strata")
 
-    def weigh(self, z, words):
-        if z > self.level:
+    def weigh(self, z, level, words):
+        if z > level:
             self.host.note(f"{words}, z {z:.2f}")
-        return "fail" if z > self.level else "suspect" if z > HOLD_Z else "fine"
+        return "fail" if z > level else "suspect" if z > HOLD_Z else "fine"
 
     def errors_say(self, build, name, counts, new=(), old=()):
         """Errors against the earlier build's whole record: quick errors must not rank as quick successes, and
@@ -337,8 +338,9 @@
         if old_bad[0] and errored_chance(*bad, *old_bad) > 1 - NormalDist().cdf(HOLD_Z):
             return "fine"
         z = NormalDist().inv_cdf(1 - max(1e-12, errored_chance(errored, hits, old_errored, old_hits)))
-        return self.weigh(z, f"build {build.number} {name}: errored {errored} of {hits}, "
-                             f"earlier {old_errored} of {old_hits}")
+        level = self.strict if name == "platform" else self.level
+        return self.weigh(z, level, f"build {build.number} {name}: errored {errored} of {hits}, "
+                                    f"earlier {old_errored} of {old_hits}")
 
     def alike(self, new, old, now):
         """Like with like, as pairs (new, old): latencies by stretch of time, less what cold and crowding
@@ -467,7 +469,9 @@
             pace = 1.0                                 # a slow build must not hide by getting no hits
             lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.sheet.get("gateways", 1))
             lean -= TRUST_LEAN * instance.build.trusted
-        return (instance.out + instance.others + 1) * pace / self.warmth(instance, now) + lean
+        if instance.age(now) < self.cold_time:
+            lean -= COLD_LEAN                          # its budget bounds it; what that allows is used first
+        return (instance.out + instance.others + 1) * pace + lean
 
     def pick(self, hit, now):
         """The rotation: of the instances that fit and are about as free as the freest, the next in turn."""
