--- a/cobaltpond/records.py
+++ b/cobaltpond/records.py
@@ -24,6 +24,7 @@
         self.repeat_window = row.get("repeat_window") or 0
         self.benefit, self.late_benefit = row.get("benefit", 1), row.get("late_benefit", 0)
         self.usual = 0.0                               # running mean of latencies, all instances
+        self.owed = 0                                  # samples of the earlier build still to be told
 
 
 class Build:
--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -9,6 +9,8 @@
 from itertools import chain
 from math import comb, exp, factorial, sqrt
 from statistics import NormalDist, fmean, median
+from struct import calcsize, pack, unpack
+from zlib import crc32
 
 from cobaltpond.records import FOREVER, Build, Chance, Forward, Hit, Instance, PathGroup, Sample
 
@@ -26,6 +28,7 @@
 REFERENCE = 15               # times the least outcomes are kept of a build that gets no more hits
 LOOK_EVERY = SECOND // 5     # evidence is looked at so often at most
 IN_SIGHT = 18                # instances compared for a hit: work must not grow with the fleet
+JUDGES, TOLD = 2, ">IBHB"    # gateways that judge what all have seen; a sample on the wire between them
 LEAST_ERRORED = 3            # errored hits of the new build before they say anything
 # Ratios to figures of the runsheet.
 EVIDENCE_COLD_TIMES = 2.5    # evidence is kept this many times the longest warm-up
@@ -53,6 +56,11 @@
 UNANSWERED = ("timeout", "unreachable", "reset", "cancelled")
 
 
+def tag(instance):
+    """An instance and its build in four bytes."""
+    return crc32(f"{instance.id} {instance.build.number}".encode())
+
+
 def rank_z(strata):
     """The design's z over pairs (new, old) of latencies, summed as in a stratified rank test (van Elteren):
     on one pair it is the design's z to the letter. Midranks for ties; each old list is sorted."""
@@ -86,7 +94,7 @@
     def __init__(self, host, now, seed, runsheet):
         self.host, self.sheet, self.chance = host, runsheet, Chance(seed)
         self.groups = {row["name"]: PathGroup(row) for row in runsheet["path_groups"]}
-        self.instances, self.order, self.ids, self.cold = {}, [], [], []
+        self.instances, self.order, self.ids, self.tags, self.cold = {}, [], [], {}, []
         self.builds, self.hits, self.held = {}, {}, {}
         self.taken = {}                                # exposure ledger name -> times of hits taken
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
@@ -147,7 +155,7 @@
                 known.state = row["state"]
         self.order = sorted((i for i in self.instances.values() if i.state == "up"), key=lambda i: i.id)
         self.cold = [i for i in self.order if i.age(now) < self.cold_time]
-        self.ids = [i.id for i in self.order]
+        self.ids, self.tags = [i.id for i in self.order], {}
         if not self.turn and self.ids:
             self.turn = self.ids[self.chance.below(len(self.ids))]
         self.place_held(now)
@@ -259,8 +267,30 @@
             return
         stretch = int(ALIKE_COLD_TIMES * self.cold_time) or SECOND
         latency = took if ending == "ok" else group.timeout
-        self.enter_sample(group, Sample(now, latency, ending == "error", instance, forward.sent // stretch,
-                                        self.warmth(instance, forward.sent), forward.crowd))
+        sample = Sample(now, latency, ending == "error", instance, forward.sent // stretch,
+                        self.warmth(instance, forward.sent), forward.crowd)
+        self.enter_sample(group, sample)
+        self.tell_judges(group, sample)
+
+    def tell_judges(self, group, sample):
+        """Where gateways may tell each other, every sample of the trial, and one of the earlier build for it,
+        goes to a few of them that rank what all have seen: guards against evidence too thin at any one. A
+        lost message is a lost sample; every gateway goes on judging what it has seen itself."""
+        build, of, count = self.newest, sample.instance.build, self.sheet.get("gateways", 1)
+        if not self.sheet.get("may_tell") or build is None or of not in (build, build.earlier):
+            return
+        recent = sample.at - self.stage_began < EVIDENCE_COLD_TIMES * self.cold_time
+        if not (self.phase == "trial" or self.phase == "released" and recent):
+            return
+        group.owed = min(JUDGES, group.owed + 1) if of is build else group.owed - 1
+        if group.owed < 0:
+            group.owed = 0
+            return
+        data = pack(TOLD, tag(sample.instance), list(self.groups).index(group.name) << 1 | sample.errored,
+                    min(65535, sample.latency // 1000), min(255, int(sample.crowd)))
+        for judge in {(build.number + n) % count: 0 for n in range(JUDGES)}:
+            if judge != self.sheet.get("number"):
+                self.host.tell(judge, data)
 
     def enter_sample(self, group, sample):
         build = sample.instance.build
@@ -274,9 +304,9 @@
 
     def window(self, build, group, now):
         """Recent samples; where no new ones come, the last that a build gave stay as its reference."""
-        samples = build.samples.get(group.name, deque())
+        samples, least = build.samples.get(group.name, deque()), REFERENCE * LEAST
         oldest = now - (EVIDENCE_COLD_TIMES * self.cold_time or 10 * SECOND)
-        while len(samples) > REFERENCE * LEAST and samples[0].at < oldest:
+        while len(samples) > 4 * least or len(samples) > least and samples[0].at < oldest:
             samples.popleft()
         return samples
 
@@ -662,4 +692,16 @@
             self.enter_sample(self.groups[group], Sample(now, timeout, True, self.instances[id], -1, 0, 0))
 
     def on_peer(self, now, peer, data):
-        """Gateways tell each other nothing so far."""
+        """A sample that another gateway has seen; nothing in it but evidence, and what is no such thing is
+        passed over."""
+        if len(data) != calcsize(TOLD):
+            return
+        mark, bits, latency, crowd = unpack(TOLD, data)
+        self.tags = self.tags or {tag(i): i for i in self.order}
+        instance, latency = self.tags.get(mark), latency * 1000
+        if instance is None or bits >> 1 >= len(self.groups):
+            return
+        sent, stretch = now - latency, int(ALIKE_COLD_TIMES * self.cold_time) or SECOND
+        self.enter_sample(list(self.groups.values())[bits >> 1], Sample(
+            now, latency, bool(bits & 1), instance, sent // stretch, self.warmth(instance, sent), crowd))
+
