--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -37,7 +37,7 @@
 HELD_SHARE = 0.15            # a hit is held for room at most this share of its target latency
 QUIET_SHARE = 0.5            # silent is who owes an answer so long, of the target latency, and says nothing
 USEFUL_SHARE = 0.9           # past this share of the target latency another forward is no use
-COLD_CAUTION = 0.45          # of what a cold instance could be sent, our guess of its capacity being rough
+COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 LIMIT_FIRST, LIMIT_CUT = 4, 0.7        # in flight an instance: grows by one, is cut by a share
 BRISK_SHARE = 0.3            # of the target latency: an instance that takes longer has its limit cut
 TRIAL_LEAN, CONDEMNED_LEAN = 3, 100    # hits: a build on trial counts as emptier, a condemned one fuller
@@ -179,7 +179,8 @@
         part = self.sheet.get("overload_factor", 1) * COLD_CAUTION / max(1, len(self.order))
         self.cold = [i for i in self.cold if i.age(now) < self.cold_time]
         for instance in self.cold:
-            instance.tokens = instance.tokens % 1 + part * self.warmth(instance, now)
+            saved = instance.tokens % 1 if self.thin else min(1.0, instance.tokens)
+            instance.tokens = saved + part * self.warmth(instance, now)
 
     def learn(self, instance, forward, group, ending, took, report, now):
         """Limits in flight, pace, and who leaves the rotation."""
@@ -490,7 +491,7 @@
         gateway with a hit now and then cannot see by its own counts."""
         lean, own = 0, self.sheet.get("zone")
         if instance.zone != own:
-            later = self.later.get(own, 0) - self.later.get(instance.zone, 0)
+            later = self.thin and self.later.get(own, 0) - self.later.get(instance.zone, 0)
             lean = max(0, self.sheet.get("crossing_price", 0) * 25 - later * 2 / BRISK_SHARE)
         pace = min(10.0, instance.pace) if instance.pace > 1.5 else 1.0
         if instance.build.condemned:
@@ -499,7 +500,9 @@
             pace = 1.0                                 # a slow build must not hide by getting no hits
             lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.sheet.get("gateways", 1))
             lean -= TRUST_LEAN * instance.build.trusted
-        if instance.age(now) < self.cold_time:
+        if not self.thin:
+            pace /= self.warmth(instance, now)
+        elif instance.age(now) < self.cold_time:
             lean -= COLD_LEAN                          # its budget bounds it; what that allows is used first
         return (instance.out + instance.others + 1) * pace + lean
 
@@ -535,7 +538,7 @@
         a share for a late or full one. Guards against a jam that hundreds of gateways keep up together."""
         least = min(g.benefit / max(1, g.usual) for g in self.groups.values())
         low = hit.again or hit.group.benefit / max(1, hit.group.usual) <= least
-        return self.chance.below(1000) < 1000 * self.admitted ** (1.5 if low else 0.75)
+        return not self.thin or self.chance.below(1000) < 1000 * self.admitted ** (1.5 if low else 0.75)
 
     def place(self, hit, now):
         """Forward the hit, hold it for room, or give it up at once."""
@@ -649,7 +652,7 @@
                 self.wake_by(last.sent + int(QUIET_SHARE * hit.group.target) + 1, now)
             if overdue and last.instance.heard_at < last.sent:
                 self.bench(last.instance, now)
-                if self.spare >= 1 and not last.dropped and self.sheet.get("may_cancel") \
+                if (self.spare >= 1 or not self.thin) and not last.dropped and self.sheet.get("may_cancel") \
                         and hit.group.kind != "mutating":
                     last.dropped = True
                     self.spare -= 1
