--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -652,6 +652,7 @@
                 self.wake_by(last.sent + int(QUIET_SHARE * hit.group.target) + 1, now)
             if overdue and last.instance.heard_at < last.sent:
                 self.bench(last.instance, now)
+                self.wake_by(max(now + self.tick, last.instance.benched_until), now)
                 if (self.spare >= 1 or not self.thin) and not last.dropped and self.sheet.get("may_cancel") \
                         and hit.group.kind != "mutating":
                     last.dropped = True
