--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -298,7 +298,7 @@
         build.samples.setdefault(group.name, deque()).append(sample)
         errored, hits = build.errored.get(group.name, (0, 0))
         build.errored[group.name] = errored + sample.errored, hits + 1
-        against = not self.thin or sample.errored or sample.latency > MARGIN * group.usual or self.said != "fine"
+        against = sample.errored or sample.latency > MARGIN * group.usual or self.said != "fine"
         if build is self.newest and against and not self.fresh:
             self.fresh = True
             self.wake_by(max(sample.at, self.looked + LOOK_EVERY), sample.at)
