--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -376,7 +376,8 @@
         elif self.cap_of(instance.build) is not None:
             pace = 1.0                                 # a slow build must not hide by getting no hits
             lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.gateways)
-        lean -= COLD_LEAN * (instance.warmth(now) < 1)    # bounded by its budget: used first
+        warmth = instance.warmth(now)
+        lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
         return (instance.out + instance.others + 1) * pace + lean
 
     def pick(self, hit, now):
