--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -91,7 +91,8 @@
         not used at once is lost: guards against hundreds of gateways that spend theirs together."""
         part = self.sheet.get("overload_factor", 1) * COLD_CAUTION / max(1, len(self.fleet.up))
         for instance in self.fleet.still_cold(now):
-            instance.tokens = instance.tokens % 1 + part * instance.warmth(now)
+            saved = instance.tokens % 1 if self.thin else min(1.0, instance.tokens)
+            instance.tokens = saved + part * instance.warmth(now)
 
     def learn(self, instance, group, ending, took, report, now):
         if ending in ("ok", "error", "full"):
@@ -303,9 +304,8 @@
 
     def ready(self, now):
         """The design's patience after the stage's last listed start, or the latest it can have been."""
-        build = self.newest
-        starts = [i.started or 0 for i in self.fleet.up if i.build is build]
-        due = int(build.places * (self.sheet.get("stage_shares") or [1.0])[self.stage] + 0.5)
+        starts = [i.started or 0 for i in self.fleet.up if i.build is self.newest]
+        due = int(self.newest.places * (self.sheet.get("stage_shares") or [1.0])[self.stage] + 0.5)
         since = max(starts, default=0) if len(starts) >= max(1, due) else self.stage_began + 8 * SECOND
         return now - max(since, self.stage_began) >= PATIENCE
 
