--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -28,7 +28,7 @@
 QUIET_SHARE, USEFUL_SHARE = 0.5, 0.9   # silent is who owes an answer so long; no further forward past this
 COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
-ADMIT_STEP, ADMIT_CUT = 0.1, 0.8       # a thin gateway's share of hits let in: grows, is cut
+ADMIT_STEP, ADMIT_CUT = 0.05, 0.7      # a thin gateway's share of hits let in: grows, is cut
 SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
 TRIAL_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 1, 100   # hits by which an instance counts as emptier, or fuller
 
