Only late or full answers cut the admitted share; of two trial instances the worse is left out

Cause: refused dials had cut the share; a trial of two instances, one of them slow and lying about its load, was judged by both.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -28,7 +28,7 @@
 QUIET_SHARE, USEFUL_SHARE = 0.5, 0.9   # silent is who owes an answer so long; no further forward past this
 COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
-ADMIT_STEP, ADMIT_CUT = 0.05, 0.7      # a thin gateway's share of hits let in: grows, is cut
+ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
 SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
 TRIAL_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 1, 100   # hits by which an instance counts as emptier, or fuller
 
@@ -113,7 +113,7 @@
             instance.limit += 1
         if lag < USEFUL_SHARE:
             self.admitted = min(1.0, self.admitted + ADMIT_STEP)
-        elif ending != "error":                        # a failing instance is no jam
+        elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
             self.admitted = max(ADMIT_STEP, self.admitted * ADMIT_CUT)
         fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
         instance.faults += (fault - instance.faults) * 0.3
@@ -207,9 +207,9 @@
         return samples
 
     def without_worst(self, samples):
-        """No single instance or place carries the verdict: of three or more the worst third is left out."""
+        """No single instance or place carries the verdict: the worst third is left out, of two the worse."""
         means = mean_by(samples, "instance", "latency")
-        worst = sorted(means, key=lambda instance: -means[instance])[:len(means) // 3]
+        worst = sorted(means, key=lambda instance: -means[instance])[:(len(means) + 1) // 3]
         return [s for s in samples if s.instance not in worst]
 
     def look(self, build, now):
