--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -209,7 +209,7 @@
     def without_worst(self, samples):
         """No single instance or place carries the verdict: the worst third is left out, of two the worse."""
         means = mean_by(samples, "instance", "latency")
-        worst = sorted(means, key=lambda instance: -means[instance])[:(len(means) + 1) // 3]
+        worst = sorted(means, key=lambda instance: -means[instance])[:len(means) // 3 or len(means) // 2]
         return [s for s in samples if s.instance not in worst]
 
     def look(self, build, now):
