--- a/cobaltpond/records.py
+++ b/cobaltpond/records.py
@@ -50,9 +50,14 @@
         self.repeat_window = row.get("repeat_window") or 0
         self.benefit, self.late_benefit = row.get("benefit", 1), row.get("late_benefit", 0)
         self.ledger = self.name if runsheet.get("exposure_by") == "path group" else "all"
+        self.by_work = runsheet.get("benefit_by") == "work"
         self.usual = 0.0                               # running mean of latencies, all instances
         self.owed = 0                                  # samples of the earlier build still to be told
 
+    def worth(self):
+        """Benefit for the work that a hit makes."""
+        return self.benefit / (1 if self.by_work else max(1, self.usual))
+
 
 class Build:
     """One software build: what was sent to it and how its hits went."""
--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -15,7 +15,8 @@
 SECOND = 1_000_000
 # The design's figures. Those marked open are found by measuring; docs/design.md says how.
 LEVEL, LOOKS = 0.0001, 3     # the level, divided by the gateways; how often looking again errs (open)
-MARGIN, LEAST, ALONE = 1.8, 8, 4       # new median over old; least sample; times that, the old gone (open)
+MARGIN, LEAST = 1.8, 8       # new median over old; outcomes a build and path group before they rank (open)
+ALONE = 2.0, 4 * LEAST       # both, once the earlier build is gone (open)
 YOUNG, PATIENCE = 2 * SECOND, 16 * SECOND // 5      # no sample of a younger one; "on" so long after a start
 HOLD_Z, HOLD_MOST = 2.0, 3 * SECOND    # under a clock: hold above this z, so long a stage
 REFERENCE, LEAST_ERRORED = 15, 3       # times LEAST kept of a build that is gone; errors that say anything
@@ -30,7 +31,7 @@
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
 SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
-TRIAL_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 1, 100   # hits by which an instance counts as emptier, or fuller
+TRIAL_LEAN, TRUST_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 2, 1, 100      # hits: counts as emptier, or fuller
 
 NEVER_RAN, UNANSWERED = ("full", "unreachable", "moot"), ("timeout", "unreachable", "reset", "cancelled")
 
@@ -43,7 +44,7 @@
         self.taken = Ledgers(runsheet.get("exposure_window", SECOND))
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
-        self.said, self.fresh = "fine", False          # last verdict; evidence not yet looked at
+        self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
@@ -125,7 +126,8 @@
 
     def blames(self, customer, ending):
         """Is an error its customer's doing? Against hits that any instance errors; may hide a fault."""
-        share = self.blame[customer] = self.blame.get(customer, 0.0) * 0.8 + 0.2 * (ending == "error")
+        rate = 0.2 if self.thin else 0.05
+        share = self.blame[customer] = self.blame.get(customer, 0.0) * (1 - rate) + rate * (ending == "error")
         others = [x for name, x in self.blame.items() if name != customer]
         return ending == "error" and bool(others) and share > max(BLAMED, 2 * fmean(others))
 
@@ -173,7 +175,7 @@
         have seen: guards against evidence too thin at any one. A lost message is but a lost sample."""
         build, of = self.newest, sample.instance.build
         recent = sample.at - self.stage_began < EVIDENCE_COLD_TIMES * self.cold_time
-        told = self.sheet.get("may_tell") and (self.phase == "trial" or recent)
+        told = self.thin and self.sheet.get("may_tell") and (self.phase == "trial" or recent)
         if not build or not told or of not in (build, build.earlier):
             return
         owed, group.owed = group.owed, 1 if of is build else 0
@@ -199,12 +201,11 @@
             self.wake_by(max(sample.at, self.looked + LOOK_EVERY), sample.at)
 
     def window(self, build, group, now):
-        """Recent samples; where no new ones come, the last that a build gave stay as its reference."""
         samples, least = build.samples.get(group.name, deque()), REFERENCE * LEAST
         oldest = now - (EVIDENCE_COLD_TIMES * self.cold_time or 10 * SECOND)
         while len(samples) > 4 * least or len(samples) > least and samples[0].at < oldest:
             samples.popleft()
-        return samples
+        return samples                                 # the last ones of a build stay as its reference
 
     def without_worst(self, samples):
         """No single instance or place carries the verdict: the worst third is left out, of two the worse."""
@@ -226,7 +227,7 @@
         for name, (counts, new, old, pairs, alone) in zip([*self.groups, "all"], cases, strict=True):
             says += [self.errors_say(build, name, counts, self.level, new, old),
                      self.latencies_say(build, name, pairs, MARGIN, self.least, self.level),
-                     self.latencies_say(build, name, alone, MARGIN, ALONE * LEAST, self.strict)]
+                     self.latencies_say(build, name, alone, *ALONE, self.strict)]
         if sum(errored for errored, _ in build.errored.values()) >= 2:    # it counts silent and full ones too
             counts = build.tallied + build.earlier.tallied
             says.append(self.errors_say(build, "platform", counts, self.strict))
@@ -317,6 +318,8 @@
             return
         self.said = self.look(build, now) if fresh else self.said
         build.condemned = build.condemned or self.said == "fail"
+        seen, beside = sum(map(len, build.samples.values())), self.sheet.get("layout") == "beside"
+        self.trusted = beside and self.said == "fine" and seen >= 5 * LEAST    # in place there is no room to gain
         clock, want = self.sheet.get("gate") == "clock", "none"
         if build.condemned:
             want = "back"
@@ -375,7 +378,7 @@
             lean += CONDEMNED_LEAN
         elif self.cap_of(instance.build) is not None:
             pace = 1.0                                 # a slow build must not hide by getting no hits
-            lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.gateways)
+            lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.gateways) + TRUST_LEAN * self.trusted
         warmth = instance.warmth(now)
         lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
         return (instance.out + instance.others + 1) * pace + lean
@@ -432,9 +435,8 @@
     def admits(self, hit):
         """A thin gateway's limit in flight: a share of its hits is bounced at once, clients' repeats and the
         least benefit first. Guards against a jam that hundreds of gateways keep up together."""
-        dear = hit.group.benefit / max(1, hit.group.usual)
-        low = hit.again or dear <= min(g.benefit / max(1, g.usual) for g in self.groups.values())
-        return not self.thin or self.chance.below(1000) < 1000 * self.admitted ** (1.5 if low else 0.75)
+        power = 1.5 if hit.again or hit.group is min(self.groups.values(), key=PathGroup.worth) else 0.75
+        return not self.thin or self.chance.below(1000) < 1000 * self.admitted ** power
 
     def place(self, hit, now):
         if not self.may_forward(hit, now) or hit.state == State.TAKEN and not self.admits(hit):
@@ -454,11 +456,8 @@
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
     def place_held(self, now):
-        """First tries before repeats, most benefit for the work first, then the newest: in an overload the
-        oldest will be late anyway."""
-        by_work = self.sheet.get("benefit_by") == "work"
-        for hit in sorted(self.held.values(), key=lambda h: (
-                h.again, -h.group.benefit / (1 if by_work else max(1, h.group.usual)), -h.arrived)):
+        """First tries before repeats, most benefit for the work first, then the newest, the least late."""
+        for hit in sorted(self.held.values(), key=lambda h: (h.again, -h.group.worth(), -h.arrived)):
             self.place(hit, now)
 
     def give_up(self, hit, now):
