--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -175,7 +175,7 @@
         have seen: guards against evidence too thin at any one. A lost message is but a lost sample."""
         build, of = self.newest, sample.instance.build
         recent = sample.at - self.stage_began < EVIDENCE_COLD_TIMES * self.cold_time
-        told = self.thin and self.sheet.get("may_tell") and (self.phase == "trial" or recent)
+        told = self.sheet.get("may_tell") and (self.phase == "trial" or recent)
         if not build or not told or of not in (build, build.earlier):
             return
         owed, group.owed = group.owed, 1 if of is build else 0
@@ -319,7 +319,7 @@
         self.said = self.look(build, now) if fresh else self.said
         build.condemned = build.condemned or self.said == "fail"
         seen, beside = sum(map(len, build.samples.values())), self.sheet.get("layout") == "beside"
-        self.trusted = beside and self.said == "fine" and seen >= 5 * LEAST    # in place there is no room to gain
+        self.trusted = beside and self.said == "fine" and seen >= 5 * LEAST    # in place, no room to gain
         clock, want = self.sheet.get("gate") == "clock", "none"
         if build.condemned:
             want = "back"
