--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -100,7 +100,7 @@
         instance.heard_at = now
         own += instance.out
         instance.others = max(0.0, report.get("inflight", instance.others + own) - own)
-        if self.thin and report.get("latency_ms"):
+        if self.thin and report.get("latency_ms") and instance.warmth(now) >= 1:
             self.service += (report["latency_ms"] - self.service) * (0.05 if self.service else 1)
             instance.pace += (report["latency_ms"] / self.service - instance.pace) * 0.5
 
