--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -46,7 +46,7 @@
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
-        self.admitted, self.shy, self.service, self.blame = 1.0, 0.0, 0.0, {}      # shares; mean service time
+        self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
         self.stretch = int(ALIKE_COLD_TIMES * self.cold_time) or SECOND
@@ -95,18 +95,11 @@
             saved = instance.tokens % 1 if self.thin else min(1.0, instance.tokens)
             instance.tokens = saved + part * instance.warmth(now)
 
-    def heed(self, instance, report, now, own):
-        """What it reports; its service time, against all others', shows a slow one that hides its load."""
-        instance.heard_at = now
-        own += instance.out
-        instance.others = max(0.0, report.get("inflight", instance.others + own) - own)
-        if self.thin and report.get("latency_ms") and instance.warmth(now) >= 1:
-            self.service += (report["latency_ms"] - self.service) * (0.05 if self.service else 1)
-            instance.pace += (report["latency_ms"] / self.service - instance.pace) * 0.5
-
     def learn(self, instance, group, ending, took, report, now):
         if ending in ("ok", "error", "full"):
-            self.heed(instance, report, now, 1)
+            instance.heard_at = now
+        if "inflight" in report:
+            instance.others = max(0.0, report["inflight"] - instance.out - 1)
         if ending == "ok":
             self.fill_cold_budget(now)
             group.usual += (took - group.usual) * (0.05 if group.usual else 1)
@@ -146,6 +139,7 @@
             instance.benched_until, instance.limit, instance.faults = now + instance.bench_time, 1, 0.4
 
     def cap_of(self, build):
+        """The cap that binds this build now; None where it is not on trial."""
         if self.newest is None or build.number > self.newest.number:
             return (self.sheet.get("stage_caps") or [0.0])[0]
         return self.cap if build is self.newest and self.phase != "released" else None
@@ -165,7 +159,8 @@
     # --- judging -------------------------------------------------------------------------------------------
 
     def add_evidence(self, forward, group, ending, took, now):
-        """Full gives no sample, other failures count as time-outs; silence tells of a place, no build."""
+        """A full instance gives no sample; other failures count as time-outs. One that says nothing at all
+        tells of its place, not of its build: guards a good build against silent or cut-off instances."""
         instance = forward.instance
         silent = ending in UNANSWERED and instance.heard_at < forward.sent
         if silent or ending in ("full", "moot") or instance.age(forward.sent) < YOUNG:
@@ -176,7 +171,8 @@
         self.tell_judges(group, sample)
 
     def tell_judges(self, group, sample):
-        """Each sample of the trial, and one of the earlier build, to gateways that rank them all."""
+        """Each sample of the trial, and one of the earlier build for it, goes to gateways that rank what all
+        have seen: guards against evidence too thin at any one. A lost message is but a lost sample."""
         build, of = self.newest, sample.instance.build
         recent = sample.at - self.stage_began < EVIDENCE_COLD_TIMES * self.cold_time
         told = self.sheet.get("may_tell") and (self.phase == "trial" or recent)
@@ -421,7 +417,8 @@
         self.shy += (late - self.shy) * 0.1
         if instance is None or ending != "ok":
             return
-        self.heed(instance, report, now, 0)
+        instance.heard_at = now
+        instance.others = max(0.0, report.get("inflight", instance.others + instance.out) - instance.out)
         for hit in [h for h in self.held.values() if instance in h.asked and instance not in h.free]:
             hit.free.append(instance)
             self.place(hit, now)
@@ -436,7 +433,8 @@
         return not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
 
     def admits(self, hit):
-        """A thin gateway's limit in flight: bounces the least benefit first, against lasting jams."""
+        """A thin gateway's limit in flight: a share of its hits is bounced at once, clients' repeats and the
+        least benefit first. Guards against a jam that hundreds of gateways keep up together."""
         power = 1.5 if hit.again or hit.group is min(self.groups.values(), key=PathGroup.worth) else 0.75
         return not self.thin or self.chance.below(1000) < 1000 * self.admitted ** power
 
