Thin gateways compare over longer stretches; the level for many votes is doubled

Cause: with one trial hit a stretch and three earlier ones the stratified test could not reach its level, and 27 votes came only after the last stage.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -14,7 +14,7 @@
 
 SECOND = 1_000_000
 # The design's figures. Those marked open are found by measuring; docs/design.md says how.
-LEVEL, LOOKS = 0.0001, 3     # the level, divided by the gateways; how often looking again errs (open)
+LEVEL, LOOKS = 0.0001, 1.5    # the level, divided by the gateways; how often looking again errs (open)
 MARGIN, LEAST = 1.8, 8       # new median over old; outcomes a build and path group before they rank (open)
 ALONE = 2.0, 4 * LEAST       # both, once the earlier build is gone (open)
 YOUNG, PATIENCE = 2 * SECOND, 16 * SECOND // 5      # no sample of a younger one; "on" so long after a start
@@ -49,11 +49,11 @@
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
-        self.stretch = int(ALIKE_COLD_TIMES * self.cold_time) or SECOND
         self.shortest = min(g.target for g in self.groups.values())
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         votes, self.gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.thin = self.gateways > THIN
+        self.stretch = (1 + self.thin) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits in each
         self.level = NormalDist().inv_cdf(1 - max(LEVEL, bearable(votes, LEVEL) / LOOKS) / self.gateways)
         self.strict = NormalDist().inv_cdf(1 - LEVEL / self.gateways)    # where all gateways would err alike
         self.least = max(LEAST_ERRORED, round(LEAST / sqrt(votes)))      # no gateway decides alone
