Every trial sample calls for a look

Cause: the usual latency of a thin gateway starts at its first hit, so slow samples did not count as against.

--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -192,10 +192,11 @@
                 now, latency, errored, instance, sent // self.stretch, instance.warmth(sent), crowd))
 
     def enter_sample(self, group, sample):
-        """Keeps it; one against the newest build, or any while that is suspect, calls for a look."""
+        """Keeps it; one on trial, against the newest build or while that is suspect calls for a look."""
         build = sample.instance.build
         build.enter(group.name, sample)
-        against = sample.errored or sample.latency > MARGIN * group.usual or self.said != "fine"
+        against = sample.errored or self.said != "fine" or self.phase == "trial" or (
+            sample.latency > MARGIN * group.usual)
         if build is self.newest and against and not self.fresh:
             self.fresh = True
             self.wake_by(max(sample.at, self.looked + LOOK_EVERY), sample.at)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -267,3 +267,13 @@
     build = gateway.fleet.builds[2]
     assert gateway.errors_say(build, "all", (4, 5, 0, 85), gateway.level) == "fine"
     assert gateway.errors_say(build, "all", (6, 9, 0, 85), gateway.level) == "fail"
+
+
+def test_many_votes_let_a_thin_gateway_speak_up_on_a_handful_of_hits():
+    votes = []
+    for needed in (1, 25):
+        many = {"gateways": 500, "back_votes": needed, "stage_caps": [1.0, 1.0]}
+        bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), **many)
+        bench.serve(12_000 * MS, steady(400), every=600 * MS)
+        votes.append({a[2] for _, _, a in bench.host.named("vote")})
+    assert "back" not in votes[0] and "back" in votes[1]
