--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -5,7 +5,7 @@
 """
 from collections import deque
 from itertools import islice
-from math import inf, sqrt
+from math import ceil, inf, sqrt
 from statistics import NormalDist, fmean, median
 
 from cobaltpond.figures import bearable, draw_chance, mean_by, rank_z
@@ -14,7 +14,7 @@
 
 SECOND = 1_000_000
 # The design's figures. Those marked open are found by measuring; docs/design.md says how.
-LEVEL, LOOKS = 0.0001, 1.5    # the level, divided by the gateways; how often looking again errs (open)
+LEVEL, ALIKE = 0.0001, 1 / 3     # by the number of gateways; votes that may err alike from one cause (open)
 MARGIN, LEAST = 1.8, 8       # new median over old; outcomes a build and path group before they rank (open)
 ALONE = 2.0, 4 * LEAST       # both, once the earlier build is gone (open)
 YOUNG, PATIENCE = 2 * SECOND, 16 * SECOND // 5      # no sample of a younger one; "on" so long after a start
@@ -54,7 +54,7 @@
         votes, self.gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.thin = self.gateways > THIN
         self.stretch = (3 if self.thin else 1) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits
-        self.level = NormalDist().inv_cdf(1 - max(LEVEL, bearable(votes, LEVEL) / LOOKS) / self.gateways)
+        self.level = NormalDist().inv_cdf(1 - bearable(ceil(votes * (1 - ALIKE)), LEVEL) / self.gateways)
         self.strict = NormalDist().inv_cdf(1 - LEVEL / self.gateways)    # where all gateways would err alike
         self.least = max(LEAST_ERRORED, round(LEAST / sqrt(votes)))      # no gateway decides alone
         self.wake_by(now + 1 + self.chance.below(LOOK_EVERY), now)       # not all gateways at once
