--- a/cobaltpond/rules.py
+++ b/cobaltpond/rules.py
@@ -53,7 +53,7 @@
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         votes, self.gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.thin = self.gateways > THIN
-        self.stretch = (3 if self.thin else 1) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits
+        self.stretch = (2 if self.thin else 1) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits
         self.level = NormalDist().inv_cdf(1 - bearable(ceil(votes * (1 - ALIKE)), LEVEL) / self.gateways)
         self.strict = NormalDist().inv_cdf(1 - LEVEL / self.gateways)    # where all gateways would err alike
         self.least = max(LEAST_ERRORED, round(LEAST / sqrt(votes)))      # no gateway decides alone
