--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -274,6 +274,6 @@
     for needed in (1, 25):
         many = {"gateways": 500, "back_votes": needed, "stage_caps": [1.0, 1.0]}
         bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), **many)
-        bench.serve(14_000 * MS, steady(400), every=600 * MS)
+        bench.serve(14_000 * MS, steady(400), every=400 * MS)
         votes.append({a[2] for _, _, a in bench.host.named("vote")})
     assert "back" not in votes[0] and "back" in votes[1]
