--- a/cobaltpond/benchlink/link.py
+++ b/cobaltpond/benchlink/link.py
@@ -3,7 +3,7 @@
 import json
 
 from cobaltpond.benchlink.runsheet import micros, runsheet
-from cobaltpond.rules import Gateway
+from cobaltpond.decisions.rules import Gateway
 
 ENDINGS = {200: "ok", 502: "error", 429: "full", 408: "timeout", 521: "unreachable", 520: "reset",
            444: "cancelled", 409: "moot"}
--- a/cobaltpond/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -8,9 +8,9 @@
 from math import ceil, inf, sqrt
 from statistics import NormalDist, fmean, median
 
-from cobaltpond.figures import bearable, draw_chance, mean_by, rank_z
-from cobaltpond.records import Chance, Fleet, Hit, Instance, Ledgers, PathGroup, Sample, State
-from cobaltpond.told import Told
+from cobaltpond.decisions.figures import bearable, draw_chance, mean_by, rank_z
+from cobaltpond.decisions.records import Chance, Fleet, Hit, Instance, Ledgers, PathGroup, Sample, State
+from cobaltpond.decisions.told import Told
 
 SECOND = 1_000_000
 # The design's figures. Those marked open are found by measuring; docs/design.md says how.
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """A host that records what a gateway does, a slow plain model of the rules, a generator of events."""
 import random
 
-from cobaltpond.rules import Gateway
+from cobaltpond.decisions.rules import Gateway
 
 MS = 1000
 GROUPS = [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 from helpers import MS, Bench, broken_rules, random_day, row, sheet
 
 from cobaltpond.benchlink.runsheet import runsheet
-from cobaltpond.figures import bearable, chance_of, draw_chance, rank_z
-from cobaltpond.records import Chance
+from cobaltpond.decisions.figures import bearable, chance_of, draw_chance, rank_z
+from cobaltpond.decisions.records import Chance
 
 OLD = [row(f"i{n}") for n in range(6)]
 NEW = [row(f"n{n}", 2) for n in range(4)]
