--- /dev/null
+++ b/cobaltpond/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command `cobaltpond`: arguments, output, exit codes."""
--- /dev/null
+++ b/cobaltpond/cli/main.py
@@ -0,0 +1,189 @@
+"""Exit codes: 0 fine, 1 a rule was broken or a part failed, 2 the input is wrong."""
+import json
+import logging
+import sys
+import tempfile
+
+import click
+import structlog
+
+from cobaltpond.loop import Deadline, EpollKernel, Loop, TimedOut
+from cobaltpond.sheet import BadSheet, read_sheet
+from cobaltpond.sheet.parts import split_address
+
+
+def logger(part: str):
+    """One JSON object a line on standard error, with the time of day and what part says it."""
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
+                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr))
+    return structlog.get_logger().bind(part=part)
+
+
+def sheet_of(path: str):
+    try:
+        with open(path, encoding="utf-8") as file:
+            return read_sheet(path, file.read())
+    except BadSheet as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(2)
+
+
+def died(log):
+    def call(task, trouble):
+        log.error("task died", task=task.name, exc_info=(type(trouble), trouble, trouble.__traceback__))
+    return call
+
+
+@click.group()
+@click.version_option(package_name=None, version="0.2.0", prog_name="cobaltpond")
+def main():
+    """A release controller and the router that moves traffic from one build to another."""
+
+
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def check(file):
+    """Reads a sheet and says what it holds, or what is wrong with it and where."""
+    sheet = sheet_of(file)
+    click.echo(f"{file}: {len(sheet.gateways)} gateways in {len(sheet.zones)} zones, {len(sheet.path_groups)} path "
+               f"groups, {len(sheet.routes)} routes, {len(sheet.release.shares)} stages")
+
+
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--number", type=int, required=True, help="Which gateway of the sheet this one is.")
+@click.option("--decisions", default=None, hidden=True, help="module:class to decide in place of the project's own")
+def gateway(file, number, decisions):
+    """Runs one gateway until it is told to stop (TERM): then hits under way are answered first."""
+    from cobaltpond.gateway.main import run_gateway
+    sheet = sheet_of(file)
+    if not 0 <= number < len(sheet.gateways):
+        raise click.BadParameter(f"the sheet has gateways 0 to {len(sheet.gateways) - 1}", param_hint="--number")
+    kind = None
+    if decisions is not None:
+        import importlib
+        module, _, name = decisions.partition(":")
+        kind = getattr(importlib.import_module(module), name)
+    run_gateway(EpollKernel(), sheet, number, logger(f"gateway-{number}"), kind)
+
+
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def desk(file):
+    """Runs the release desk."""
+    from cobaltpond.desk.service import run_desk
+    sheet = sheet_of(file)
+    if sheet.desk.platform is None:
+        click.echo(f"{file}: desk(...): platform is needed to run a desk", err=True)
+        sys.exit(2)
+    run_desk(EpollKernel(), sheet, logger("desk"))
+
+
+def ask(file, method, target, body=None):
+    """One call to the desk of a sheet."""
+    from cobaltpond.calls import FAILED, call
+    sheet, loop = sheet_of(file), Loop(EpollKernel())
+
+    def go():
+        with Deadline(loop, 3_000_000):
+            return (yield from call(loop, split_address(sheet.desk.address), method, target,
+                                    json.dumps(body).encode() if body else b"", 1_000_000))
+    try:
+        status, text = loop.run(loop.spawn(go(), "ask"))
+    except (*FAILED, TimedOut) as trouble:
+        click.echo(f"no answer from the desk at {sheet.desk.address}: {trouble}", err=True)
+        sys.exit(1)
+    answer = json.loads(text)
+    if status >= 300:
+        click.echo(f"the desk says no: {answer.get('error', status)}", err=True)
+        sys.exit(1)
+    return answer
+
+
+@main.group()
+def release():
+    """Speaks to the release desk."""
+
+
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.argument("build", type=int)
+def offer(file, build):
+    """Offers a build: it goes out in stages."""
+    click.echo(json.dumps(ask(file, "POST", "/v1/builds", {"build": build})["news"]))
+
+
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def status(file):
+    """Where the newest build stands, as JSON."""
+    click.echo(json.dumps(ask(file, "GET", "/v1/status"), indent=2))
+
+
+@main.command()
+@click.argument("script", required=False, type=click.Path(exists=True, dir_okay=False))
+@click.option("--from", "bench", type=click.Path(exists=True, dir_okay=False), help="A day file of the bench.")
+@click.option("--seed", type=int, default=None, help="Another seed than the script's.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Folder for records and logs (default: a new one).")
+@click.option("--as-json", is_flag=True, help="Figures as JSON in place of the table.")
+def day(script, bench, seed, keep, as_json):
+    """Plays a day over real sockets and checks the five rules. Exit code 0 only if all held."""
+    from cobaltpond.day.frombench import BadDay, from_bench
+    from cobaltpond.day.run import DayFailed, DayRun
+    from cobaltpond.day.script import read_day
+    from cobaltpond.day.table import figures, table
+    if (script is None) == (bench is None):
+        raise click.UsageError("give either a SCRIPT or --from DAY.json")
+    try:
+        with open(script or bench, encoding="utf-8") as file:
+            plan = read_day(script, file.read(), seed) if script else from_bench(json.load(file), bench)
+    except (BadSheet, BadDay, ValueError) as trouble:
+        click.echo(str(trouble), err=True)
+        sys.exit(2)
+    folder = keep or tempfile.mkdtemp(prefix="cobaltpond-day-")
+    log = logger("day")
+    loop = Loop(EpollKernel(), died(log))
+    run = DayRun(loop, plan, folder, lambda text: click.echo(text, err=True))
+    loop.kernel.on_signals(lambda name: loop.stop())
+    try:
+        result = loop.run(loop.spawn(run.run(), "day"))
+    except DayFailed as trouble:
+        click.echo(f"the day failed: {trouble}", err=True)
+        sys.exit(1)
+    finally:
+        loop.close()
+    if result is None:
+        click.echo("stopped", err=True)
+        sys.exit(1)
+    if as_json:
+        found = result["found"]
+        click.echo(json.dumps({**figures(result), "rules": {
+            rule: {"checked": found.checked[rule], "broken": len(found.broken[rule])} for rule in found.checked}}))
+    else:
+        click.echo(table(result))
+        click.echo(f"records and logs: {folder}", err=True)
+    sys.exit(0 if result["found"].kept else 1)
+
+
+@main.group(hidden=True)
+def standin():
+    """Stand-ins of a day; started by `cobaltpond day`."""
+
+
+@standin.command()
+@click.argument("plan", type=click.File())
+@click.argument("records", type=click.Path())
+def yard(plan, records):
+    from cobaltpond.standins.yard import run_yard
+    run_yard(EpollKernel(), json.load(plan), records, died(logger("yard")))
+
+
+@standin.command()
+@click.argument("plan", type=click.File())
+@click.argument("records", type=click.Path())
+def crowd(plan, records):
+    from cobaltpond.standins.crowd import run_crowd
+    run_crowd(EpollKernel(), json.load(plan), records, died(logger("crowd")))
--- /dev/null
+++ b/cobaltpond/day/run.py
@@ -0,0 +1,261 @@
+"""Plays a plan: starts yard, desk, gateways and clients as processes of their own, and does to them what the day
+says; then has the records checked."""
+import json
+import os
+import sys
+
+from cobaltpond.audit.check import check_all
+from cobaltpond.calls import FAILED, call
+from cobaltpond.day.script import sheet_text
+from cobaltpond.loop import Deadline, Sleep, TimedOut, Unreachable
+from cobaltpond.sheet import read_sheet
+
+READY, CALL_TIME = 15_000_000, 2_000_000
+
+
+class DayFailed(Exception):
+    """The day could not be played to its end; the text says why."""
+
+
+class DayRun:
+    def __init__(self, loop, plan, folder, say, extra=None):
+        """`extra`: gateway number -> more words for its command line (gateways broken on purpose, in tests)."""
+        self.loop, self.plan, self.folder, self.say, self.extra = loop, plan, folder, say, extra or {}
+        self.acts, self.children, self.gateways, self.statuses = [], {}, {}, []
+        os.makedirs(folder, exist_ok=True)
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def write(self, name, value):
+        data = value if isinstance(value, str) else json.dumps(value)
+        self.loop.kernel.replace_file(self.path(name), data.encode(), sync=False)
+        return self.path(name)
+
+    def spawn(self, name, *words):
+        argv = [sys.executable, "-m", "cobaltpond", *words]
+        child = self.children[name] = self.loop.kernel.spawn(argv, self.path(f"{name}.log"))
+        return child
+
+    def ports(self):
+        """A free run of ports below those that the system gives out by itself."""
+        need = 8 * len(self.plan["places"]) + 2 * len(self.plan["gateways"]) + len(self.plan["zone_names"]) + 8
+        base = 10_000 + self.loop.kernel.seed() % 15_000
+        while base + need < 32_000:
+            held = []
+            try:
+                for port in range(base, base + need):
+                    held.append(self.loop.kernel.listen(("127.0.0.1", port), 1))
+                break
+            except Unreachable:
+                base += 101
+            finally:
+                for handle in held:
+                    handle.close()
+        else:
+            raise DayFailed("no free ports")
+        names = iter(range(base + 8 * len(self.plan["places"]), base + need))
+        ports = {"machines": base, "list": next(names), "platform": next(names), "troubles": next(names),
+                 "desk": next(names), "relays": {zone: next(names) for zone in self.plan["zone_names"]}}
+        ports["doors"] = next(names)
+        ports["peers"] = ports["doors"] + len(self.plan["gateways"])
+        return ports
+
+    def act(self, kind, **more):
+        self.acts.append({"kind": kind, "at": self.loop.kernel.now(), **more})
+
+    def get(self, port, method, target, body=None):
+        with Deadline(self.loop, CALL_TIME):
+            status, text = yield from call(self.loop, ("127.0.0.1", port), method, target,
+                                           json.dumps(body).encode() if body is not None else b"", CALL_TIME)
+        return status, json.loads(text) if text[:1] in (b"{", b"[") else {}
+
+    def until(self, what, ask, good):
+        """Asks again and again until the answer is good, within a bound."""
+        end = self.loop.now() + READY
+        while self.loop.now() < end:
+            try:
+                status, body = yield from ask()
+                if status == 200 and good(body):
+                    return body
+            except (*FAILED, TimedOut, ValueError):
+                pass
+            for name, child in self.children.items():
+                if child.ended() not in (None, 0, -9):
+                    raise DayFailed(f"{name} has ended with {child.ended()}: see {self.path(name + '.log')}")
+            yield Sleep(30_000)
+        raise DayFailed(f"{what} did not come up: see {self.folder}")
+
+    def start_gateway(self, number):
+        self.act("started", gateway=number)
+        zone = self.plan["gateways"][number]["zone"]
+        self.gateways[number] = self.spawn(f"gateway-{number}", "gateway", self.path(f"sheet-{zone}.star"),
+                                           "--number", str(number), *self.extra.get(number, ()))
+
+    def gateway_ready(self, number):
+        def ask():
+            return (yield from self.get(self.port["doors"] + number, "GET", "/-/status"))
+        yield from self.until(f"gateway {number}", ask, lambda b: b["desk"]["news"] and b["list"]["revision"])
+
+    def run(self):
+        """Gives the day's whole result: a plain map."""
+        plan, loop = self.plan, self.loop
+        self.port = ports = self.ports()
+        try:
+            yield from self.start(ports)
+            begin = loop.kernel.now() + 700_000
+            crowds = self.start_crowds(ports, begin)
+            for generator in self.script(begin):
+                loop.spawn(generator, "script")
+            yield from self.play(begin, crowds)
+            for number in range(len(plan["gateways"])):
+                status, body = yield from self.get(ports["doors"] + number, "GET", "/-/status")
+                self.statuses.append(body)
+            _, self.desk_status = yield from self.get(ports["desk"], "GET", "/v1/status")
+            yield from self.stop()
+        finally:
+            for child in self.children.values():
+                child.signal("CONT")
+                child.signal("KILL")
+        return self.result(begin)
+
+    def start(self, ports):
+        plan = self.plan
+        zones = {n: g["zone"] for n, g in enumerate(plan["gateways"])}
+        yard = {**{k: plan[k] for k in ("seed", "places", "kind", "build", "boot", "list", "report", "flaws",
+                                        "home", "zone_names")},
+                "zones": [zones[n] for n in sorted(zones)], "ports": ports["machines"], "services": ports,
+                "groups": {g["name"]: {"scope": g.get("scope", "all"), "window": g.get("repeat_window", 0)}
+                           for g in plan["groups"]},
+                "rules": {"factor": plan["rules"]["overload_factor"], "tip_time": plan["rules"]["tip_time"]},
+                "tally": {"sample": plan["release"].get("tally_sample", 0.0)}}
+        self.write("plan.json", plan)
+        for zone in plan["zone_names"]:
+            self.write(f"sheet-{zone}.star", sheet_text(plan, zone, ports, self.folder))
+        self.sheet_path = self.write("sheet-desk.star", sheet_text(plan, "", ports, self.folder))
+        self.sheet = read_sheet(self.sheet_path, sheet_text(plan, "", ports, self.folder))
+        self.spawn("yard", "standin", "yard", self.write("yard.json", yard), self.path("yard.records"))
+        yield from self.until("the yard", lambda: self.get(ports["platform"], "GET", "/v1/machines"),
+                              lambda b: len(b["machines"]) == len(plan["places"]))
+        # its list starts whole: instances that ran before the day
+        yield from self.get(ports["troubles"], "POST", "/v1/trouble", {"kind": "list_begins", "begins": True})
+        self.spawn("desk", "desk", self.sheet_path)
+        yield from self.until("the desk", lambda: self.get(ports["desk"], "GET", "/v1/status"), lambda b: True)
+        for number in range(len(plan["gateways"])):
+            self.start_gateway(number)
+        for number in range(len(plan["gateways"])):
+            yield from self.gateway_ready(number)
+
+    def start_crowds(self, ports, begin):
+        plan, crowds = self.plan, []
+        for n in range(plan["crowds"]):
+            crowd = {"seed": plan["seed"], "number": n, "rate": plan["rate"] / plan["crowds"],
+                     "length": plan["length"], "begin": begin, "customers": plan["customers"],
+                     "gateways": [{**g, "door": f"127.0.0.1:{ports['doors'] + i}"}
+                                  for i, g in enumerate(plan["gateways"])],
+                     "groups": [{**g, "path": f"/{g['name']}"} for g in plan["groups"]], "keys": plan["keys"],
+                     "clients": plan["clients"], "troubles": plan["troubles"],
+                     "desk": ["127.0.0.1", ports["desk"]],
+                     "wrong_reported": plan["release"].get("wrong_reported", 0.0)}
+            crowds.append(self.spawn(f"crowd-{n}", "standin", "crowd", self.write(f"crowd-{n}.json", crowd),
+                                     self.path(f"crowd-{n}.records")))
+        return crowds
+
+    def play(self, begin, crowds):
+        end = begin + self.plan["length"] + 40_000_000
+        while any(c.ended() is None for c in crowds):
+            if self.loop.kernel.now() > end:
+                raise DayFailed("the clients did not end")
+            for name, child in self.children.items():
+                if child.ended() not in (None, 0) and not any(
+                        a["kind"] == "killed" and f"gateway-{a['gateway']}" == name for a in self.acts):
+                    raise DayFailed(f"{name} has ended with {child.ended()}: see {self.path(name + '.log')}")
+            yield Sleep(50_000)
+
+    # --- the script --------------------------------------------------------------------------------------------
+
+    def script(self, begin):
+        plan = self.plan
+        for offer in plan["offers"]:
+            if offer["at"] < plan["length"]:
+                yield self.offer(begin, offer)
+        for trouble in plan["troubles"]:
+            if trouble["kind"] == "balancer_stall":
+                yield self.stall(begin, trouble)
+            elif trouble["kind"] not in ("burst", "tenant_burst", "heavy_tail", "bad_requests", "give_up"):
+                yield self.trouble(begin, trouble)
+        for kill in plan["kills"]:
+            yield self.kill(begin, kill)
+
+    def wait(self, at):
+        yield Sleep(at - self.loop.kernel.now())
+
+    def offer(self, begin, offer):
+        yield from self.wait(begin + offer["at"])
+        self.say(f"{offer['at'] / 1e6:5.1f} s  build {offer['build']} offered "
+                 f"({self.plan['flaws'][str(offer['build'])]['how'] or 'good'})")
+        yield from self.get(self.port["desk"], "POST", "/v1/builds", {"build": offer["build"]})
+
+    def trouble(self, begin, trouble):
+        for begins, at in ((True, trouble["at"]), (False, trouble["at"] + trouble["len"])):
+            yield from self.wait(begin + at)
+            self.say(f"{at / 1e6:5.1f} s  {trouble['kind']} {'begins' if begins else 'is over'}")
+            yield from self.get(self.port["troubles"], "POST", "/v1/trouble", {**trouble, "begins": begins})
+
+    def stall(self, begin, trouble):
+        """A gateway that stands still."""
+        number = trouble["which"] % len(self.plan["gateways"])
+        yield from self.wait(begin + trouble["at"])
+        self.say(f"{trouble['at'] / 1e6:5.1f} s  gateway {number} stands still for {trouble['len'] / 1e6:.1f} s")
+        self.act("stalled", gateway=number, len=trouble["len"])
+        self.gateways[number].signal("STOP")
+        yield from self.wait(begin + trouble["at"] + trouble["len"])
+        self.gateways[number].signal("CONT")
+
+    def kill(self, begin, kill):
+        number = kill["gateway"]
+        yield from self.wait(begin + kill["at"])
+        self.say(f"{kill['at'] / 1e6:5.1f} s  gateway {number} killed")
+        self.act("killed", gateway=number)
+        self.gateways[number].signal("KILL")
+        yield Sleep(kill["back_after"])
+        self.say(f"{(kill['at'] + kill['back_after']) / 1e6:5.1f} s  gateway {number} started again")
+        self.start_gateway(number)
+
+    def stop(self):
+        """Gateways first, in order; each has to end by itself with 0."""
+        for number, child in self.gateways.items():
+            self.act("stopping", gateway=number)
+            child.signal("TERM")
+        names = [f"gateway-{n}" for n in self.gateways]
+        yield from self.ended(names)
+        for name in ("desk", "yard"):
+            self.children[name].signal("TERM")
+        yield from self.ended(["desk", "yard"])
+
+    def ended(self, names):
+        end = self.loop.kernel.now() + READY
+        while any(self.children[n].ended() is None for n in names):
+            if self.loop.kernel.now() > end:
+                raise DayFailed(f"{[n for n in names if self.children[n].ended() is None]} did not stop")
+            yield Sleep(30_000)
+        bad = {n: self.children[n].ended() for n in names if self.children[n].ended()}
+        if bad:
+            raise DayFailed(f"did not end with 0: {bad}")
+
+    # --- afterwards --------------------------------------------------------------------------------------------
+
+    def records(self, name):
+        lines = (self.loop.kernel.read_file(self.path(name)) or b"").splitlines()
+        return [json.loads(line) for line in lines]
+
+    def result(self, begin):
+        crowd = [e for n in range(self.plan["crowds"]) for e in self.records(f"crowd-{n}.records")]
+        yard = self.records("yard.records")
+        runsheet = {**self.sheet.runsheet(0), "rules": {
+            "tip_time": self.sheet.rules.tip_time, "overload_factor": self.sheet.rules.overload_factor,
+            "answer_slack": self.sheet.rules.answer_slack}}
+        self.write("acts.json", self.acts)
+        self.write("statuses.json", self.statuses)
+        return {"found": check_all(crowd, yard, self.acts, runsheet), "crowd": crowd, "yard": yard, "begin": begin,
+                "statuses": self.statuses, "desk": self.desk_status, "plan": self.plan}
--- /dev/null
+++ b/cobaltpond/desk/service.py
@@ -0,0 +1,196 @@
+"""The running release desk: calls from gateways and operators, the platform's instances, news to all."""
+import json
+
+from cobaltpond.calls import FAILED, Refusal, Stream, call, json_answer, service
+from cobaltpond.desk.stages import Refused, Stages
+from cobaltpond.loop import Deadline, Loop, Sleep, TimedOut
+from cobaltpond.sheet.parts import split_address
+
+TICK = 20_000
+CALL_TIME = 1_000_000
+
+
+class Desk:
+    """`record(kind, **fields)`: what was told to whom, for the record; may be None."""
+
+    def __init__(self, loop, sheet, log, record=None):
+        self.loop, self.sheet, self.log, self.record = loop, sheet, log, record
+        self.platform = split_address(sheet.desk.platform)
+        self.stages, self.streams, self.last, self.told_at = None, {}, None, 0
+        self.stop_asked = False
+
+    def run(self):
+        listener = self.loop.kernel.listen(split_address(self.sheet.desk.address))
+        yield from self.first_look()
+        self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
+        self.loop.spawn(self.watch_platform(), "platform")
+        self.log.info("desk open", build=self.stages.build, places=len(self.stages.places))
+        while not self.stop_asked:
+            yield Sleep(TICK)
+            self.tick()
+
+    def stop(self, name=""):
+        self.stop_asked = True
+
+    def first_look(self):
+        """The platform's instances at the start: their build is the released one."""
+        while self.stages is None:
+            try:
+                machines = yield from self.ask("GET", "/v1/machines")
+                up = [m for m in machines["machines"] if m["state"] in ("up", "starting")]
+                if up:
+                    places = sorted({m["place"] for m in machines["machines"]})
+                    self.stages = Stages(self.sheet.release, places, max(m["build"] for m in up), self.loop.now())
+                    self.update(machines)
+                    return
+            except (*FAILED, TimedOut, KeyError, ValueError) as trouble:
+                self.log.warning("platform silent", why=f"{type(trouble).__name__}: {trouble}")
+            yield Sleep(100_000)
+
+    def ask(self, method, target, body=None):
+        with Deadline(self.loop, CALL_TIME):
+            status, text = yield from call(self.loop, self.platform, method, target,
+                                           json.dumps(body).encode() if body is not None else b"", CALL_TIME)
+        if status >= 300:
+            raise ValueError(f"{method} {target}: status {status}")
+        return json.loads(text)
+
+    def update(self, machines):
+        now, listed = self.loop.now(), {m["id"] for m in machines["machines"]}
+        for id in [id for id in self.stages.machines if id not in listed]:
+            self.stages.machine(now, id, "", 0, "gone")
+        for m in machines["machines"]:
+            self.stages.machine(now, m["id"], m["place"], m["build"], m["state"])
+        for tally in machines.get("tallies", []):
+            self.tell_all({"tally": tally})
+
+    def watch_platform(self):
+        while True:
+            try:
+                self.update((yield from self.ask("GET", "/v1/machines")))
+            except (*FAILED, TimedOut, KeyError, ValueError) as trouble:
+                self.log.warning("platform silent", why=f"{type(trouble).__name__}: {trouble}")
+            yield Sleep(100_000)
+
+    def tick(self):
+        now, stages = self.loop.now(), self.stages
+        stages.tick(now)
+        for order in stages.orders(now):
+            self.log.info("order", order=list(order))
+            self.loop.spawn(self.carry(order), "order")
+        while stages.story:
+            at, build, stage, phase, why = stages.story.pop(0)
+            self.log.info("release", build=build, stage=stage, phase=phase, why=why)
+            if self.record:
+                self.record("phase", build=build, stage=stage, phase=phase, why=why, at=at)
+        state = stages.news(now)
+        mark = {k: v for k, v in state.items() if k != "age_us"}
+        if mark != self.last or now - self.told_at >= self.sheet.release.news_period:
+            self.last, self.told_at = mark, now
+            self.tell_all({"news": state})
+
+    def carry(self, order):
+        what, *rest = order
+        try:
+            if what == "start":
+                yield from self.ask("POST", "/v1/machines", {"place": rest[0], "build": rest[1]})
+            else:
+                yield from self.ask("POST", f"/v1/machines/{rest[0]}/{what}", {})
+        except (*FAILED, TimedOut, ValueError) as trouble:
+            self.log.warning("order not carried out", order=list(order), why=str(trouble))
+
+    def tell_all(self, one):
+        for number in list(self.streams):
+            self.tell(number, one)
+
+    def tell(self, number, one):
+        for stream in list(self.streams.get(number, [])):
+            if stream.over or not stream.put(one):
+                self.streams[number].remove(stream)
+            elif self.record and "news" in one:
+                self.record("news", gateway=number, **one["news"])
+
+    # --- calls -----------------------------------------------------------------------------------------------
+
+    def handle(self, request):
+        route = request.method, request.path
+        if route == ("GET", "/v1/news"):
+            return self.follow(request)
+        if route == ("POST", "/v1/votes"):
+            return self.vote(request.json())
+        if route == ("POST", "/v1/wrong"):
+            return self.wrong(request.json())
+        if route == ("POST", "/v1/builds"):
+            return self.offer(request.json())
+        if route == ("GET", "/v1/status"):
+            return json_answer(200, self.status())
+        raise Refusal(404, "no such call")
+
+    def gateway_of(self, number) -> int:
+        if not isinstance(number, int) or not 0 <= number < len(self.sheet.gateways):
+            raise Refusal(400, f"no gateway {number!r}")
+        return number
+
+    def follow(self, request):
+        given = request.query.get("gateway", "")
+        number = self.gateway_of(int(given) if given.isdigit() else given)
+        stream = Stream()
+        self.streams.setdefault(number, []).append(stream)
+        self.tell(number, {"news": self.stages.news(self.loop.now())})
+        return stream
+
+    def vote(self, body):
+        number = self.gateway_of(body.get("gateway"))
+        if not isinstance(body.get("build"), int) or not isinstance(body.get("stage"), int):
+            raise Refusal(400, "a vote needs build and stage as whole numbers")
+        now = self.loop.now()
+        answer = self.stages.vote(now, number, body["build"], body["stage"], body.get("verdict"))
+        if self.record:
+            self.record("vote", gateway=number, answer=answer, build=body["build"], stage=body["stage"],
+                        verdict=body.get("verdict"))
+        news = self.stages.news(now)
+        if answer == "ok" and self.record:
+            self.record("news", gateway=number, **news)
+        told = {"answer": answer, "news": news} if answer == "ok" else {"answer": answer}
+        return json_answer({"ok": 200, "moot": 409, "full": 429}[answer], told)
+
+    def wrong(self, body):
+        """A client found wrong what a gateway passed on; that gateway is told."""
+        number = self.gateway_of(body.get("gateway"))
+        told = {"instance": body.get("instance"), "group": body.get("group"), "age_us": body.get("age_us", 0)}
+        if not isinstance(told["instance"], str) or not isinstance(told["age_us"], int):
+            raise Refusal(400, "instance and age_us are needed")
+        if told["group"] not in {g.name for g in self.sheet.path_groups}:
+            raise Refusal(400, f"no path group {told['group']!r}")
+        self.tell(number, {"wrong": told})
+        return json_answer(202, {})
+
+    def offer(self, body):
+        if not isinstance(body.get("build"), int):
+            raise Refusal(400, "build: a whole number is needed")
+        try:
+            self.stages.offer(self.loop.now(), body["build"])
+        except Refused as no:
+            raise Refusal(409, str(no)) from None
+        return json_answer(202, self.status())
+
+    def status(self):
+        now, stages = self.loop.now(), self.stages
+        missing = [f"{what} {' '.join(map(str, rest))}" for what, *rest in stages.ordered]
+        return {"news": stages.news(now), "stable": stages.stable, "offered": stages.offered,
+                "clock_us": None if stages.clock is None else now - stages.clock,
+                "votes": {v: stages.standing(now, v) for v in ("on", "hold", "back")},
+                "streams": sum(map(len, self.streams.values())), "orders": missing,
+                "machines": [{"id": m.id, "place": m.place, "build": m.build, "state": m.state}
+                             for m in stages.machines.values()]}
+
+
+def run_desk(kernel, sheet, log, record=None):
+    def died(task, trouble):
+        log.error("task died", task=task.name, exc_info=(type(trouble), trouble, trouble.__traceback__))
+
+    loop = Loop(kernel, died)
+    desk = Desk(loop, sheet, log, record)
+    kernel.on_signals(desk.stop)
+    loop.run(loop.spawn(desk.run(), "desk"))
+    loop.close()
--- /dev/null
+++ b/cobaltpond/desk/stages.py
@@ -0,0 +1,212 @@
+"""How a build goes out and comes back: the release desk's decisions, free of I/O.
+
+Level-triggered: what is to run follows from the state (`wanted`), and orders are the difference to what the
+platform says is running. An order that is lost, late or carried out twice therefore puts itself right. All
+changes of phase go through `move`. Times are microseconds.
+"""
+from dataclasses import dataclass, field
+
+TRIAL, GOING_BACK, RELEASED, WITHDRAWN = "trial", "going back", "released", "withdrawn"
+NEXT = {TRIAL: {TRIAL, GOING_BACK, RELEASED}, GOING_BACK: {WITHDRAWN}, RELEASED: {TRIAL, GOING_BACK},
+        WITHDRAWN: {TRIAL}}
+ORDER_AGAIN = 2_000_000                                # an order not seen carried out is given again
+
+
+class Refused(Exception):
+    """An offer that cannot be taken; the text says why."""
+
+
+@dataclass
+class Machine:
+    """One instance as the platform tells of it."""
+    id: str
+    place: str
+    build: int
+    state: str                                         # starting, up, draining
+    drained_at: int | None = None
+
+
+@dataclass
+class Vote:
+    build: int
+    stage: int
+    verdict: str
+    at: int
+
+
+@dataclass
+class Stages:
+    """`release`: the sheet's call of that name; `places`: names of the fleet's places in the order in which they
+    get a new build; `build`: what runs at the start."""
+    release: object
+    places: list
+    build: int
+    now: int = 0
+    stage: int = 0
+    phase: str = RELEASED
+    since: int = 0
+    stable: int | None = None                          # the build to return to
+    offered: list = field(default_factory=list)
+    machines: dict = field(default_factory=dict)
+    votes: dict = field(default_factory=dict)
+    ordered: dict = field(default_factory=dict)        # what was ordered -> when
+    launched: int = 0
+    clock: int | None = None                           # when the stage's clock began
+    held: int = 0
+    changed: bool = True
+    tokens: float | None = None
+    tokens_at: int = 0
+    story: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.since = self.now
+        self.tokens = 2.0 * self.release.vote_rate
+        self.tokens_at = self.now
+
+    # --- what is to run --------------------------------------------------------------------------------------
+
+    def trial_places(self) -> list:
+        share = self.release.shares[self.stage]
+        return self.places[:max(1, int(share * len(self.places) + 0.5))]
+
+    def wanted(self) -> dict:
+        """place -> the builds that should run there."""
+        if self.phase == RELEASED:
+            return {place: {self.build} for place in self.places}
+        if self.phase in (GOING_BACK, WITHDRAWN):
+            return {place: {self.stable} for place in self.places}
+        trial = set(self.trial_places())
+        beside = self.release.layout == "beside"
+        return {place: ({self.stable, self.build} if beside else {self.build}) if place in trial else {self.stable}
+                for place in self.places}
+
+    def running(self, place, build) -> bool:
+        return any(m.place == place and m.build == build and m.state == "up" for m in self.machines.values())
+
+    def orders(self, now: int) -> list:
+        """("start", place, build), ("drain", id), ("stop", id): the difference between wanted and running."""
+        due, wanted = [], self.wanted()
+        for place in self.places:
+            here = [m for m in self.machines.values() if m.place == place]
+            for build in sorted(wanted[place]):
+                if not any(m.build == build and m.state != "draining" for m in here):
+                    due.append(("start", place, build))
+            replaced = all(self.running(place, build) for build in wanted[place])
+            for machine in here:
+                if machine.build in wanted[place]:
+                    continue
+                if machine.state == "draining":
+                    if now - (machine.drained_at or now) >= self.release.drain_time:
+                        due.append(("stop", machine.id))
+                elif replaced or machine.state == "starting":
+                    due.append(("drain" if machine.state == "up" else "stop", machine.id))
+        fresh = [order for order in due if now - self.ordered.get(order, -ORDER_AGAIN) >= ORDER_AGAIN]
+        self.ordered = {order: at for order, at in self.ordered.items() if order in due}
+        for order in fresh:
+            self.ordered[order] = now
+        return fresh
+
+    # --- what happens ----------------------------------------------------------------------------------------
+
+    def move(self, now: int, phase: str, stage: int, why: str) -> None:
+        """The one place where phase and stage change."""
+        if phase not in NEXT[self.phase]:
+            raise RuntimeError(f"a release cannot go from {self.phase} to {phase}")
+        self.phase, self.stage, self.since, self.changed = phase, stage, now, True
+        self.launched, self.clock, self.held = now, None, 0
+        self.story.append((now, self.build, stage, phase, why))
+
+    def offer(self, now: int, build: int) -> None:
+        """Raises Refused. One on trial is taken off first; the new one then follows by itself."""
+        newest = max([self.build, *self.offered])
+        if build <= newest:
+            raise Refused(f"build {build} is not later than {newest}")
+        self.offered.append(build)
+        if self.phase == TRIAL:
+            self.move(now, GOING_BACK, self.stage, f"build {build} is due")
+        self.tick(now)
+
+    def machine(self, now: int, id: str, place: str, build: int, state: str) -> None:
+        """What the platform says of an instance; state gone takes it out."""
+        if state == "gone":
+            self.machines.pop(id, None)
+        elif id in self.machines and self.machines[id].build == build:
+            known = self.machines[id]
+            if state == "draining" and known.state != "draining":
+                known.drained_at = now
+            known.state = state
+        else:
+            self.machines[id] = Machine(id, place, build, state, now if state == "draining" else None)
+
+    def vote(self, now: int, gateway: int, build: int, stage: int, verdict: str) -> str:
+        """ok, moot or full. A vote that is ok replaces the gateway's earlier one."""
+        rate = self.release.vote_rate
+        self.tokens = min(2 * rate, self.tokens + rate * (now - self.tokens_at) / 1e6)
+        self.tokens_at = now
+        if self.tokens < 1:
+            return "full"
+        self.tokens -= 1
+        clock, here = self.release.gate == "clock", (build, stage) == (self.build, self.stage)
+        legal = {"none": build == self.build, "back": build == self.build and self.phase in (TRIAL, RELEASED),
+                 "on": here and self.phase == TRIAL and not clock, "hold": here and self.phase == TRIAL and clock}
+        if not legal.get(verdict, False) or self.stable is None and verdict == "back":
+            return "moot"
+        self.votes[gateway] = Vote(build, stage, verdict, now)
+        self.tick(now)
+        return "ok"
+
+    def standing(self, now: int, verdict: str) -> int:
+        """How many votes stand for this verdict on the newest build, and for on and hold on its stage."""
+        return sum(v.verdict == verdict and v.build == self.build and now - v.at < self.release.vote_life
+                   and (verdict == "back" or v.stage == self.stage) for v in self.votes.values())
+
+    def tick(self, now: int) -> None:
+        passed, self.now = now - self.now, now
+        release = self.release
+        back = 1 if release.gate == "any" else release.back_votes
+        if self.phase in (TRIAL, RELEASED) and self.stable is not None and self.standing(now, "back") >= back:
+            self.move(now, GOING_BACK, self.stage, f"{self.standing(now, 'back')} votes to send it back")
+        if self.phase == GOING_BACK and self.settled_back():
+            self.move(now, WITHDRAWN, self.stage, "the last instance is gone")
+        if self.phase in (RELEASED, WITHDRAWN) and self.offered:
+            if self.phase == RELEASED:
+                self.stable = self.build
+            self.build, self.votes = self.offered.pop(0), {}
+            self.move(now, TRIAL, 0, "offered")
+        if self.phase != TRIAL:
+            return
+        if self.clock is None:
+            up = all(self.running(place, self.build) for place in self.trial_places())
+            if up or now - self.launched >= release.start_within:
+                self.clock = now + (release.settle if up else 0)
+                self.changed = True
+        if self.clock is None or now < self.clock:
+            return
+        if release.gate == "clock":
+            if release.hold_votes and self.standing(now, "hold") >= release.hold_votes:
+                self.held += passed
+            ready = now - self.clock - self.held >= release.step
+        else:
+            need = 1 if release.gate == "any" else max(1, release.on_votes)
+            ready = now - self.clock >= release.dwell and self.standing(now, "on") >= need
+        if ready:
+            last = self.stage == len(release.shares) - 1
+            self.move(now, RELEASED if last else TRIAL, self.stage + (not last), "every stage passed" if last else "on")
+
+    def settled_back(self) -> bool:
+        covered = all(self.running(place, self.stable) for place in self.places)
+        return covered and not any(m.build == self.build and m.state == "up" for m in self.machines.values())
+
+    def cap(self) -> float:
+        """What gateways may send to the newest build. On the way back it falls with the places that have
+        nothing else running, to 0."""
+        if self.phase == RELEASED:
+            return 1.0
+        if self.phase == TRIAL:
+            return self.release.caps[self.stage]
+        bare = sum(not self.running(place, self.stable) for place in self.places)
+        return self.release.caps[self.stage] * bare / len(self.places)
+
+    def news(self, now: int) -> dict:
+        return {"build": self.build, "stage": self.stage, "phase": self.phase, "cap": self.cap(),
+                "age_us": max(0, now - self.since)}
--- /dev/null
+++ b/cobaltpond/gateway/follow.py
@@ -0,0 +1,187 @@
+"""Follows the list of instances: a pushed stream, or a watch that is asked for; keeps a copy on disk.
+
+Each object of the list is `{"epoch", "revision", "base", "rows"}`: `base` null is the whole list, else a change
+to revision `base` of the same epoch. A change that does not fit what is held is a gap: the whole list is asked
+for. A row's `age_us` says how long the instance had been up when the row was written; its start on this
+gateway's own clock is worked out once for each `start` mark, so that a restart, and nothing else, moves it.
+"""
+import json
+import zlib
+from urllib.parse import urlencode
+
+from cobaltpond.calls import FAILED, LineStream, Waits, call
+from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.sheet.parts import split_address
+from cobaltpond.wire.lines import BadLine, Lines
+
+STATES = ("up", "draining", "gone")
+
+
+class Gap(Exception):
+    """A change to a list that is not the one held."""
+
+
+class Held:
+    """The list as last heard. Free of I/O."""
+
+    def __init__(self):
+        self.epoch, self.revision, self.rows, self.starts = None, 0, {}, {}
+
+    def apply(self, now: int, told: dict) -> tuple[bool, list]:
+        """(whole, rows for the decisions with their addresses). Raises Gap, or BadLine on what is no list."""
+        try:
+            whole = told["base"] is None
+            if not whole and (told["epoch"], told["base"]) != (self.epoch, self.revision):
+                if told["epoch"] == self.epoch and told["revision"] <= self.revision:
+                    return False, []                   # heard already, over another connection
+                raise Gap(f"a change to {told['epoch']}/{told['base']}, held is {self.epoch}/{self.revision}")
+            if whole and told["epoch"] == self.epoch and told["revision"] < self.revision:
+                return False, []                       # an answer that was overtaken
+            rows = [self.row(now, entry) for entry in told["rows"]]
+            self.epoch, self.revision = told["epoch"], int(told["revision"])
+        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+            raise BadLine(f"no list: {trouble!r}") from trouble
+        if whole:
+            self.rows = {}
+        for entry in told["rows"]:
+            if entry["state"] == "gone":
+                self.rows.pop(entry["id"], None)
+            else:
+                self.rows[entry["id"]] = {**entry, "at": now}
+        known = {(id, entry["start"]) for id, entry in self.rows.items()}
+        self.starts = {mark: at for mark, at in self.starts.items() if mark in known}
+        return whole, rows
+
+    def row(self, now: int, entry: dict) -> tuple[dict, tuple]:
+        if entry["state"] not in STATES:
+            raise ValueError(f"state {entry['state']!r}")
+        mark = entry["id"], entry["start"]
+        if mark not in self.starts:
+            self.starts[mark] = now - int(entry["age_us"])
+        address = split_address(entry["address"])
+        return {"id": str(entry["id"]), "build": int(entry["build"]), "cell": entry.get("cell", 0),
+                "zone": entry["zone"], "state": entry["state"], "weight": entry.get("weight", 1),
+                "started": self.starts[mark]}, address
+
+    def kept(self, now: int) -> bytes:
+        """What goes to disk, with a checksum: a torn file is found out."""
+        rows = [{**{k: v for k, v in entry.items() if k != "at"}, "age_us": entry["age_us"] + now - entry["at"]}
+                for entry in self.rows.values()]
+        body = json.dumps({"epoch": self.epoch, "revision": self.revision, "base": None, "rows": rows}).encode()
+        return b"%08x %s\n" % (zlib.crc32(body), body)
+
+    @staticmethod
+    def from_disk(data: bytes | None) -> dict | None:
+        """None where nothing whole is there."""
+        mark, _, body = (data or b"").rstrip(b"\n").partition(b" ")
+        try:
+            return json.loads(body) if int(mark, 16) == zlib.crc32(body) else None
+        except ValueError:
+            return None
+
+
+class Follower:
+    def __init__(self, loop, sheet, place, host, log):
+        self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
+        self.address, self.memory = split_address(sheet.listing.address), place.memory
+        self.held, self.heard, self.dirty = Held(), False, False
+        self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
+        self.counts = {"applied": 0, "gaps": 0, "errors": 0}
+
+    def recall(self) -> None:
+        """The list as it was kept: it may be out of date, and its revision is not built upon."""
+        told = Held.from_disk(self.loop.kernel.read_file(self.memory)) if self.memory else None
+        if told is not None:
+            try:
+                _, rows = Held().apply(self.loop.now(), told)
+            except BadLine as trouble:
+                self.log.warning("kept list unreadable", why=str(trouble))
+                return
+            self.host.places.update(True, rows)
+            self.host.post_first("on_list", True, [row for row, _ in rows])
+            self.log.info("list recalled", revision=told["revision"], rows=len(rows))
+
+    def take(self, told: dict) -> None:
+        if told.get("beat"):
+            return
+        whole, rows = self.held.apply(self.loop.now(), told)
+        self.heard, self.dirty = True, True
+        if rows or whole:
+            self.counts["applied"] += 1
+            self.host.places.update(whole, rows)
+            self.host.post_first("on_list", whole, [row for row, _ in rows])
+            self.log.info("list", revision=self.held.revision, whole=whole,
+                          rows=[f"{r['id']} {r['state']} build {r['build']}" for r, _ in rows][:20])
+
+    def query(self, whole: bool, stream: bool) -> str:
+        asked = {"gateway": self.host.number}
+        if stream:
+            asked["watch"] = 1
+        if not whole and self.held.epoch is not None:
+            asked.update(epoch=self.held.epoch, after=self.held.revision)
+        return "/v1/list?" + urlencode(asked)
+
+    def push(self):
+        """The pushed stream, for ever; silence beyond the sheet's bound counts as a broken one."""
+        whole = False
+        while True:
+            stream = LineStream(self.loop, self.address)
+            try:
+                with Deadline(self.loop, self.sheet.listing.silence):
+                    yield from stream.open(self.query(whole, True), self.sheet.instances.dial_time)
+                whole = False
+                while True:
+                    with Deadline(self.loop, self.sheet.listing.silence):
+                        told = yield from stream.next()
+                    if told is None:
+                        break
+                    self.waits.reset()
+                    for one in told:
+                        self.take(one)
+            except Gap as trouble:
+                whole = True
+                self.counts["gaps"] += 1
+                self.log.warning("list gap", why=str(trouble))
+            except (*FAILED, TimedOut) as trouble:
+                self.counts["errors"] += 1
+                self.log.warning("list broken", why=f"{type(trouble).__name__}: {trouble}")
+            finally:
+                stream.close()
+            yield Sleep(self.waits.next())
+
+    def ask(self, whole: bool):
+        """One call: what has changed since, or all. The decisions hear of it either way."""
+        try:
+            with Deadline(self.loop, self.sheet.listing.ask_within // 3):
+                status, body = yield from call(self.loop, self.address, "GET", self.query(whole, False), b"",
+                                               self.sheet.instances.dial_time)
+            if status != 200:
+                raise BadLine(f"status {status}")
+            told = Lines().feed(body + b"\n")
+            before = self.counts["applied"]
+            for one in told:
+                self.take(one)
+            if before == self.counts["applied"]:       # nothing new is an answer too
+                self.host.post_first("on_list", False, [])
+        except Gap as trouble:
+            self.counts["gaps"] += 1
+            self.log.warning("list gap", why=str(trouble))
+            if whole:
+                self.host.post_first("on_list_error")
+            else:
+                yield from self.ask(whole=True)
+        except (*FAILED, TimedOut) as trouble:
+            self.counts["errors"] += 1
+            self.log.warning("list call failed", why=f"{type(trouble).__name__}: {trouble}")
+            self.host.post_first("on_list_error")
+
+    def keep(self):
+        """Writes the copy at most once a second; without a sync, since it is a hint: the checksum tells."""
+        while True:
+            yield Sleep(1_000_000)
+            if self.dirty and self.memory:
+                self.dirty = False
+                try:
+                    self.loop.kernel.replace_file(self.memory, self.held.kept(self.loop.now()), sync=False)
+                except OSError as trouble:
+                    self.log.warning("list not kept", why=str(trouble))
--- /dev/null
+++ b/cobaltpond/gateway/instances.py
@@ -0,0 +1,96 @@
+"""The instances as the gateway reaches them: one record each, with its address and kept connections."""
+from collections import deque
+
+from cobaltpond.loop import HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
+
+
+class NoConnection(Exception):
+    """None was to be had, and nothing was sent; the text is a key of `endings.SEEN`."""
+
+
+class Place:
+    """One instance of the list: `row` as the decisions get it, where to dial, connections that wait."""
+
+    def __init__(self, row: dict, address: tuple[str, int]):
+        self.row, self.address = row, address
+        self.idle, self.open = deque(), 0              # (connection, since); all that are open
+
+
+class Places:
+    def __init__(self, loop, limits):
+        """`limits`: the sheet's `instances`."""
+        self.loop, self.limits, self.by_id = loop, limits, {}
+
+    def update(self, whole: bool, rows: list[tuple[dict, tuple[str, int]]]) -> None:
+        """`rows`: what the decisions get, and the address. Connections to what restarted or left are closed."""
+        if whole:
+            listed = {row["id"] for row, _ in rows}
+            for id in [id for id in self.by_id if id not in listed]:
+                self.forget(self.by_id.pop(id))
+        for row, address in rows:
+            place = self.by_id.get(row["id"])
+            if row["state"] == "gone":
+                if place is not None:
+                    self.forget(self.by_id.pop(row["id"]))
+            elif place is None or place.address != address or place.row["started"] != row["started"]:
+                if place is not None:
+                    self.forget(place)
+                self.by_id[row["id"]] = Place(row, address)
+            else:
+                place.row = row
+
+    def forget(self, place: Place) -> None:
+        while place.idle:
+            place.idle.popleft()[0].close()
+            place.open -= 1
+
+    def take(self, place: Place):
+        """A connection, and whether it was kept from an earlier hit. Raises NoConnection.
+
+        A kept one is looked at before it is given out: guards against an instance that closed it meanwhile. One
+        that closes between this look and the first byte is found by the write, see `forwards.py`.
+        """
+        while place.idle:
+            connection, _ = place.idle.pop()
+            try:
+                if connection.read_now(1) is None:
+                    return connection, True
+            except PeerLost:
+                pass
+            self.close(place, connection)
+        if place.open >= self.limits.connections:
+            raise NoConnection("no connection free")
+        place.open += 1
+        try:
+            connection = yield from dial(self.loop, place.address, self.limits.dial_time)
+        except BaseException as trouble:
+            place.open -= 1
+            why = {Refused: "refused", Unreachable: "no route", TimedOut: "dial too slow",
+                   HandlesUsedUp: "no handle", PeerLost: "no route"}.get(type(trouble))
+            if why is None:
+                raise
+            raise NoConnection(why) from None
+        return connection, False
+
+    def give_back(self, place: Place, connection) -> None:
+        """Kept for the next hit, unless the instance has left meanwhile."""
+        if self.by_id.get(place.row["id"]) is place and not connection.closed:
+            place.idle.append((connection, self.loop.now()))
+        else:
+            self.close(place, connection)
+
+    def close(self, place: Place, connection) -> None:
+        place.open -= 1
+        connection.close()
+
+    def sweep(self):
+        """Closes what has been idle for long; a task without end."""
+        while True:
+            yield Sleep(self.limits.idle_time // 4)
+            for place in list(self.by_id.values()):
+                while place.idle and self.loop.now() - place.idle[0][1] >= self.limits.idle_time:
+                    self.close(place, place.idle.popleft()[0])
+
+    def counts(self) -> dict:
+        return {id: {"open": place.open, "idle": len(place.idle), "state": place.row["state"],
+                     "build": place.row["build"]} for id, place in self.by_id.items()}
--- /dev/null
+++ b/cobaltpond/gateway/news.py
@@ -0,0 +1,90 @@
+"""The release desk as the gateway hears it: news, tallies, wrong answers; and the votes it sends there."""
+import json
+
+from cobaltpond.calls import FAILED, NOT_SENT, LineStream, Waits, call
+from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.sheet.parts import split_address
+
+PHASES = ("trial", "going back", "released", "withdrawn")
+ANSWERS = {200: "ok", 409: "moot", 429: "full"}
+
+
+class News:
+    def __init__(self, loop, sheet, host, log):
+        self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
+        self.address, self.heard, self.last = split_address(sheet.desk.address), False, None
+        self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
+        self.counts = {"news": 0, "tallies": 0, "wrong": 0, "errors": 0}
+
+    def state(self, told: dict) -> tuple:
+        """build, stage, phase, cap, age. Raises KeyError, TypeError or ValueError on what is no news."""
+        if told["phase"] not in PHASES:
+            raise ValueError(f"phase {told['phase']!r}")
+        return (int(told["build"]), int(told["stage"]), told["phase"], min(1.0, max(0.0, float(told["cap"]))),
+                max(0, int(told["age_us"])))
+
+    def take(self, told: dict) -> None:
+        try:
+            if "news" in told:
+                state = self.state(told["news"])
+                self.heard = True
+                self.counts["news"] += 1
+                if state[:4] != self.last:
+                    self.last = state[:4]
+                    self.log.info("news", build=state[0], stage=state[1], phase=state[2], cap=state[3])
+                self.host.post_first("on_news", *state, False, "ok")
+            elif "tally" in told:
+                t = told["tally"]
+                self.counts["tallies"] += 1
+                self.host.post("on_tally", int(t["build"]), t["group"], int(t["count"]), int(t["errored"]),
+                               int(t["mean_us"]), int(t["age_us"]))
+            elif "wrong" in told:
+                w = told["wrong"]
+                self.counts["wrong"] += 1
+                self.host.post("on_wrong", w["instance"], w["group"], int(w["age_us"]))
+        except (KeyError, TypeError, ValueError) as trouble:
+            self.counts["errors"] += 1
+            self.log.warning("no news", why=repr(trouble))
+
+    def follow(self):
+        """The stream of news, for ever."""
+        silence = 3 * self.sheet.release.news_period
+        while True:
+            stream = LineStream(self.loop, self.address)
+            try:
+                with Deadline(self.loop, silence):
+                    yield from stream.open(f"/v1/news?gateway={self.host.number}", self.sheet.instances.dial_time)
+                while True:
+                    with Deadline(self.loop, silence):
+                        told = yield from stream.next()
+                    if told is None:
+                        break
+                    self.waits.reset()
+                    for one in told:
+                        self.take(one)
+            except (*FAILED, TimedOut) as trouble:
+                self.counts["errors"] += 1
+                self.log.warning("desk stream broken", why=f"{type(trouble).__name__}: {trouble}")
+            finally:
+                stream.close()
+            yield Sleep(self.waits.next())
+
+    def vote(self, build, stage, verdict):
+        """One vote and exactly one answer: ok, moot, full, error (it did not count), timeout (it may count)."""
+        answer, state = "timeout", (build, stage, "trial", 0.0, 0)
+        body = json.dumps({"gateway": self.host.number, "build": build, "stage": stage, "verdict": verdict})
+        try:
+            with Deadline(self.loop, self.sheet.release.vote_wait):
+                status, text = yield from call(self.loop, self.address, "POST", "/v1/votes", body.encode(),
+                                               self.sheet.instances.dial_time)
+            answer = ANSWERS.get(status, "error")
+            if status == 200:
+                state = self.state(json.loads(text)["news"])
+        except NOT_SENT:
+            answer = "error"
+        except (*FAILED, TimedOut):
+            answer = "timeout"
+        except (KeyError, TypeError, ValueError):
+            answer = "timeout"                         # it was heard, and what was said makes no sense
+        self.log.info("vote answered", build=build, stage=stage, verdict=verdict, answer=answer)
+        self.host.post_first("on_news", *state, True, answer)
--- /dev/null
+++ b/cobaltpond/gateway/tape.py
@@ -0,0 +1,66 @@
+"""The body of a hit: kept up to a bound so that it can be sent again, streamed beyond it."""
+from cobaltpond.loop import Event
+
+
+class Torn(Exception):
+    """The beginning was not kept: it cannot be sent again."""
+
+
+class CutShort(Exception):
+    """The client left in the middle of its body."""
+
+
+class Tape:
+    def __init__(self, hold: int):
+        self.hold, self.chunks, self.held, self.start = hold, [], 0, 0    # start: number of the first chunk kept
+        self.ended, self.cut, self.streaming, self.readers = False, False, False, 0
+        self.came, self.went = Event(), Event()
+
+    def put(self, data: bytes):
+        """Waits while more than `hold` bytes lie unread: back-pressure on the client."""
+        while self.held > self.hold and not self.cut:
+            yield self.went
+        self.chunks.append(data)
+        self.held += len(data)
+        if self.held > self.hold:
+            self.streaming = True
+            self.drop_read()
+        self.came.set()
+
+    def end(self, cut: bool = False) -> None:
+        self.ended, self.cut = not cut, cut
+        self.came.set()
+        self.went.set()
+
+    @property
+    def whole(self) -> bytes | None:
+        """All of it, where it is all here and kept."""
+        return b"".join(self.chunks) if self.ended and not self.start else None
+
+    def drop_read(self) -> None:
+        """Beyond the bound, what the one reader has passed is let go."""
+        if not self.streaming or not self.readers:
+            return
+        while self.chunks and self.start < self.position:
+            self.held -= len(self.chunks.pop(0))
+            self.start += 1
+        self.went.set()
+
+    def read(self):
+        """A generator-coroutine per chunk for one reader: `open()` first. b"" at the end."""
+        while self.position - self.start >= len(self.chunks):
+            if self.cut:
+                raise CutShort
+            if self.ended:
+                return b""
+            yield self.came
+        data = self.chunks[self.position - self.start]
+        self.position += 1
+        self.drop_read()
+        return data
+
+    def open(self) -> None:
+        """From the beginning again; Torn where that has been let go."""
+        if self.start:
+            raise Torn
+        self.position, self.readers = 0, 1
--- /dev/null
+++ b/cobaltpond/loop/__init__.py
@@ -0,0 +1,20 @@
+"""The only room that knows the operating system: clock, epoll, sockets, timers, tasks, processes, files."""
+from cobaltpond.loop.kernel import EpollKernel, HandlesUsedUp, Kernel, PeerLost, Refused, Unreachable
+from cobaltpond.loop.streams import Connection, dial, serve
+from cobaltpond.loop.tasks import (
+    Cancelled,
+    Deadline,
+    Event,
+    Loop,
+    Queue,
+    Readable,
+    Sleep,
+    Task,
+    TimedOut,
+    Writable,
+)
+
+__all__ = [
+    "Cancelled", "Connection", "Deadline", "EpollKernel", "Event", "HandlesUsedUp", "Kernel", "Loop", "PeerLost",
+    "Queue", "Readable", "Refused", "Sleep", "Task", "TimedOut", "Unreachable", "Writable", "dial", "serve",
+]
--- /dev/null
+++ b/cobaltpond/loop/chance.py
@@ -0,0 +1,7 @@
+"""Seeded chance for stand-ins and tools; the decisions have their own (`decisions/records.py`)."""
+from random import Random
+
+
+def seeded(seed) -> Random:
+    """The same draws for the same seed."""
+    return Random(seed)
--- /dev/null
+++ b/cobaltpond/loop/kernel.py
@@ -0,0 +1,311 @@
+"""The seam to the operating system. All that the program reads, waits for or changes outside itself goes
+through a `Kernel`; another kernel (a virtual clock with seeded faults) can take its place unseen.
+
+Handles are non-blocking: an operation that cannot go on now returns None, one that never will raises one of
+the errors below. `poll` reports a handle once each time that it becomes ready (edge-triggered, epoll(7)):
+whoever was told None must wait for the next report; whoever has not tried yet must try first.
+"""
+import errno
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import time
+from typing import Protocol
+
+READ, WRITE = select.EPOLLIN | select.EPOLLRDHUP, select.EPOLLOUT
+BROKEN = select.EPOLLERR | select.EPOLLHUP
+LOST = {errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN, errno.ECONNABORTED, errno.ETIMEDOUT, errno.EBADF}
+USED_UP = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+
+
+class PeerLost(Exception):
+    """The connection is gone: reset, broken, or closed on our side."""
+
+
+class Refused(Exception):
+    """Nobody listens at that address."""
+
+
+class Unreachable(Exception):
+    """No connection, for another reason than a refusal."""
+
+
+class HandlesUsedUp(Exception):
+    """The process may open no more files or sockets now."""
+
+
+def translated(trouble: OSError) -> Exception:
+    if trouble.errno in LOST:
+        return PeerLost(os.strerror(trouble.errno))
+    if trouble.errno == errno.ECONNREFUSED:
+        return Refused(os.strerror(trouble.errno))
+    if trouble.errno in USED_UP:
+        return HandlesUsedUp(os.strerror(trouble.errno))
+    return Unreachable(str(trouble))
+
+
+class Kernel(Protocol):
+    """What the program asks of the world. Times are whole microseconds of a clock that never goes back."""
+
+    def now(self) -> int: ...
+    def seed(self) -> int: ...
+    def poll(self, until: int | None) -> list: ...
+    def listen(self, address: tuple[str, int], backlog: int): ...
+    def dial(self, address: tuple[str, int]): ...
+    def datagrams(self, address: tuple[str, int]): ...
+    def spawn(self, argv: list[str], output: str): ...
+    def on_signals(self, call) -> None: ...
+    def read_file(self, path: str) -> bytes | None: ...
+    def replace_file(self, path: str, data: bytes, sync: bool = True) -> None: ...
+    def append_file(self, path: str): ...
+
+
+class Handle:
+    """A socket known to the kernel; `reader` and `writer` are the tasks that wait for it."""
+
+    def __init__(self, kernel: "EpollKernel", sock: socket.socket):
+        self.kernel, self.sock, self.reader, self.writer = kernel, sock, None, None
+        self.closed = False
+        sock.setblocking(False)
+        kernel.enter(self)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.kernel.leave(self)
+            self.sock.close()
+            for task in (self.reader, self.writer):    # they try again, and are told that it is gone
+                if task is not None:
+                    task.wake()
+            self.reader = self.writer = None
+
+    def address(self) -> tuple[str, int]:
+        return self.sock.getsockname()[:2]
+
+
+class Stream(Handle):
+    def connected(self) -> bool:
+        """Is the dial through? Raises Refused, Unreachable or HandlesUsedUp where it has failed."""
+        trouble = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if trouble:
+            wrong = translated(OSError(trouble, os.strerror(trouble)))
+            raise Unreachable(str(wrong)) if isinstance(wrong, PeerLost) else wrong
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return False
+        return True
+
+    def recv(self, size: int) -> bytes | None:
+        """b"" at the peer's end of file."""
+        if self.closed:
+            raise PeerLost("closed here")
+        try:
+            return self.sock.recv(size)
+        except BlockingIOError:
+            return None
+        except OSError as trouble:
+            raise PeerLost(str(trouble)) from None
+
+    def send(self, data) -> int | None:
+        if self.closed:
+            raise PeerLost("closed here")
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return None
+        except OSError as trouble:
+            raise PeerLost(str(trouble)) from None
+
+    def finish(self) -> None:
+        """Our end of file: the peer reads what was sent and then b""."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def abort(self) -> None:
+        """Closes with a reset: what is not yet sent is thrown away, and the peer sees it at once."""
+        if not self.closed:
+            try:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                pass
+            self.close()
+
+
+class Listener(Handle):
+    def accept(self) -> Stream | None:
+        """Raises HandlesUsedUp where the process has no descriptor left; the caller stays in the backlog."""
+        try:
+            sock, _ = self.sock.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return None
+        except OSError as trouble:
+            raise translated(trouble) from None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Stream(self.kernel, sock)
+
+
+class Datagrams(Handle):
+    def recv(self, size: int) -> tuple[bytes, tuple[str, int]] | None:
+        try:
+            return self.sock.recvfrom(size)
+        except OSError:                                # also the ICMP error of an earlier send
+            return None
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        """False where it was not sent: it counts as lost on the way."""
+        try:
+            self.sock.sendto(data, address)
+            return True
+        except OSError:
+            return False
+
+
+class Child:
+    def __init__(self, process: subprocess.Popen):
+        self.process, self.pid = process, process.pid
+
+    def ended(self) -> int | None:
+        return self.process.poll()
+
+    def signal(self, name: str) -> None:
+        if self.ended() is None:
+            self.process.send_signal(getattr(signal, f"SIG{name}"))
+
+
+class Appending:
+    """A file that only grows."""
+
+    def __init__(self, path: str):
+        self.file = open(path, "ab", buffering=1 << 16)
+
+    def write(self, data: bytes) -> None:
+        self.file.write(data)
+
+    def flush(self) -> None:
+        self.file.flush()
+
+    def sync(self) -> None:
+        self.file.flush()
+        os.fsync(self.file.fileno())
+
+    def close(self) -> None:
+        self.file.close()
+
+
+class EpollKernel:
+    """The real world of one process."""
+
+    def __init__(self):
+        self.epoll, self.handles, self.wake_fd = select.epoll(), {}, None
+        self.signal_call, self.signalled = None, []
+
+    def now(self) -> int:
+        return time.monotonic_ns() // 1000
+
+    def seed(self) -> int:
+        return int.from_bytes(os.urandom(8), "big")
+
+    def enter(self, handle: Handle) -> None:
+        number = handle.sock.fileno()
+        self.handles[number] = handle
+        self.epoll.register(number, READ | WRITE | select.EPOLLET)
+
+    def leave(self, handle: Handle) -> None:
+        number = handle.sock.fileno()
+        self.handles.pop(number, None)
+        try:
+            self.epoll.unregister(number)
+        except (OSError, ValueError):
+            pass
+
+    def poll(self, until: int | None) -> list[tuple[Handle, bool, bool]]:
+        """Waits until something is ready or the time has come; None waits without end."""
+        wait = -1 if until is None else max(0, until - self.now()) / 1e6
+        ready = []
+        for number, mask in self.epoll.poll(wait):
+            if number == self.wake_fd:
+                os.read(number, 4096)
+                continue
+            handle = self.handles.get(number)
+            if handle is not None:
+                ready.append((handle, bool(mask & (READ | BROKEN)), bool(mask & (WRITE | BROKEN))))
+        while self.signalled:
+            self.signal_call(self.signalled.pop(0))
+        return ready
+
+    def listen(self, address, backlog=128) -> Listener:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(tuple(address))
+            sock.listen(backlog)
+        except OSError as trouble:
+            sock.close()
+            raise Unreachable(f"cannot listen at {address[0]}:{address[1]}: {trouble}") from None
+        return Listener(self, sock)
+
+    def dial(self, address) -> Stream:
+        """A connection that is being made: wait until writable, then ask `connected`."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as trouble:
+            raise translated(trouble) from None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(tuple(address))
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise translated(OSError(code, os.strerror(code)))
+        return Stream(self, sock)
+
+    def datagrams(self, address) -> Datagrams:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(tuple(address))
+        return Datagrams(self, sock)
+
+    def spawn(self, argv, output) -> Child:
+        """Starts a process with its own session; what it prints goes to the end of a file."""
+        with open(output, "ab") as sink:
+            return Child(subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink,
+                                          start_new_session=True))
+
+    def on_signals(self, call) -> None:
+        """`call(name)` in the loop's turn after TERM, INT or HUP has come."""
+        read, write = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        self.wake_fd, self.signal_call = read, call
+        self.epoll.register(read, select.EPOLLIN)
+        for name in ("TERM", "INT", "HUP"):
+            signal.signal(getattr(signal, f"SIG{name}"), lambda *_, name=name: self.signalled.append(name))
+        signal.set_wakeup_fd(write, warn_on_full_buffer=False)
+
+    def read_file(self, path) -> bytes | None:
+        try:
+            with open(path, "rb") as file:
+                return file.read()
+        except FileNotFoundError:
+            return None
+
+    def replace_file(self, path, data, sync=True) -> None:
+        """All of it or none: write aside, sync, rename, sync of the folder (rename(2))."""
+        aside = f"{path}.new"
+        with open(aside, "wb") as file:
+            file.write(data)
+            file.flush()
+            if sync:
+                os.fsync(file.fileno())
+        os.replace(aside, path)
+        if not sync:
+            return
+        folder = os.open(os.path.dirname(os.path.abspath(path)), os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def append_file(self, path) -> Appending:
+        return Appending(path)
--- /dev/null
+++ b/cobaltpond/loop/streams.py
@@ -0,0 +1,106 @@
+"""Bytes over a stream handle: reads, writes with back-pressure, dials with a time-out, a bounded accept."""
+from cobaltpond.loop.kernel import HandlesUsedUp, PeerLost
+from cobaltpond.loop.tasks import Deadline, Readable, Sleep, Writable
+
+CHUNK = 1 << 16
+
+
+class Connection:
+    """One TCP connection as a task uses it."""
+
+    def __init__(self, loop, handle):
+        self.loop, self.handle = loop, handle
+
+    @property
+    def closed(self):
+        return self.handle.closed
+
+    def read(self, size=CHUNK):
+        """The next bytes; b"" at the end. Raises PeerLost."""
+        while (data := self.handle.recv(size)) is None:
+            yield Readable(self.handle)
+        return data
+
+    def read_now(self, size=CHUNK):
+        """What is there without waiting; None where nothing is."""
+        return self.handle.recv(size)
+
+    def write(self, data):
+        """Returns when the operating system has taken all of it. Raises PeerLost."""
+        view = memoryview(data)
+        while view:
+            sent = self.handle.send(view)
+            if sent is None:
+                yield Writable(self.handle)
+            else:
+                view = view[sent:]
+
+    def write_now(self, data):
+        """How many bytes were taken without waiting."""
+        return self.handle.send(data) or 0
+
+    def close(self):
+        self.handle.close()
+
+    def abort(self):
+        self.handle.abort()
+
+
+def dial(loop, address, time_out):
+    """A connection. Raises Refused, Unreachable, HandlesUsedUp, or TimedOut after `time_out` microseconds."""
+    handle = loop.kernel.dial(address)
+    try:
+        with Deadline(loop, time_out):
+            while not handle.connected():
+                yield Writable(handle)
+        done, handle = handle, None
+        return Connection(loop, done)
+    finally:
+        if handle is not None:
+            handle.close()
+
+
+def serve(loop, listener, answer, most, name, pause=50_000):
+    """Accepts for ever; `answer(connection)` is a task each, `most` at once: the rest waits in the backlog.
+
+    Guards against used-up descriptors: accepting pauses, what is open goes on, and nothing spins.
+    """
+    open_now, number = set(), 0
+
+    def one(connection):
+        try:
+            yield from answer(connection)
+        except PeerLost:
+            pass
+        finally:
+            connection.close()
+
+    try:
+        while True:
+            open_now = {task for task in open_now if not task.done}
+            if len(open_now) >= most:
+                yield Sleep(pause)
+                continue
+            try:
+                handle = listener.accept()
+            except HandlesUsedUp:
+                yield Sleep(pause)
+                continue
+            if handle is None:
+                yield Readable(listener)
+                continue
+            number += 1
+            open_now.add(loop.spawn(one(Connection(loop, handle)), f"{name}-{number}"))
+            if number % 64 == 0:
+                yield Sleep(0)                         # a flood of dials must not hold up the turn
+    finally:
+        # who waits in the backlog believes to be connected and may have sent something: take them all
+        while not listener.closed:
+            try:
+                handle = listener.accept()
+            except HandlesUsedUp:
+                handle = None
+            if handle is None:
+                listener.close()
+            else:
+                loop.spawn(one(Connection(loop, handle)), f"{name}-last")
--- /dev/null
+++ b/cobaltpond/loop/tasks.py
@@ -0,0 +1,340 @@
+"""Generators as coroutines. A task yields what it waits for; the loop resumes it when that has come.
+
+Waits: `Readable(handle)`, `Writable(handle)`, `Sleep(delay)`, an `Event`, a `Task` (until it ends).
+Subroutines are called with `yield from`. A task is cancelled by throwing `Cancelled` into it where it waits,
+so that its `finally` blocks run; a `Deadline` wraps any waits and throws `TimedOut` where they take too long. An
+exception that a task does not catch goes to whoever waits for it, else to `loop.on_death` with the task: never
+into nothing.
+"""
+import heapq
+from collections import deque
+from itertools import count
+
+
+class Cancelled(BaseException):
+    """Thrown into a task that is to end. Not an Exception: no handler should swallow it by chance."""
+
+
+class TimedOut(Exception):
+    """A deadline has passed."""
+
+
+class Timer:
+    __slots__ = ("at", "call", "loop")
+
+    def __init__(self, at, call, loop):
+        self.at, self.call, self.loop = at, call, loop
+
+    def cancel(self):
+        if self.call is not None:
+            self.call = None
+            self.loop.timers.dropped()
+
+
+class Timers:
+    """A heap with lazy removal; when half of it is cancelled it is built anew, so that cost stays log n."""
+
+    def __init__(self):
+        self.heap, self.number, self.dead = [], count(), 0
+
+    def add(self, timer):
+        heapq.heappush(self.heap, (timer.at, next(self.number), timer))
+
+    def dropped(self):
+        self.dead += 1
+        if self.dead > 64 and self.dead * 2 > len(self.heap):
+            self.heap = [entry for entry in self.heap if entry[2].call is not None]
+            heapq.heapify(self.heap)
+            self.dead = 0
+
+    def next_at(self):
+        while self.heap and self.heap[0][2].call is None:
+            heapq.heappop(self.heap)
+            self.dead -= 1
+        return self.heap[0][0] if self.heap else None
+
+    def due(self, now):
+        """Takes out, in order of time and then of setting, what is due."""
+        while (at := self.next_at()) is not None and at <= now:
+            timer = heapq.heappop(self.heap)[2]
+            call, timer.call = timer.call, None
+            yield call
+
+
+class Readable:
+    __slots__ = ("handle",)
+
+    def __init__(self, handle):
+        self.handle = handle
+
+    def arm(self, task):
+        if self.handle.reader is not None:
+            raise RuntimeError("two tasks read one handle")
+        self.handle.reader = task
+
+    def disarm(self, task):
+        if self.handle.reader is task:
+            self.handle.reader = None
+
+
+class Writable:
+    __slots__ = ("handle",)
+
+    def __init__(self, handle):
+        self.handle = handle
+
+    def arm(self, task):
+        if self.handle.writer is not None:
+            raise RuntimeError("two tasks write one handle")
+        self.handle.writer = task
+
+    def disarm(self, task):
+        if self.handle.writer is task:
+            self.handle.writer = None
+
+
+class Sleep:
+    __slots__ = ("delay", "timer")
+
+    def __init__(self, delay):
+        self.delay, self.timer = delay, None
+
+    def arm(self, task):
+        self.timer = task.loop.call_in(self.delay, task.wake)
+
+    def disarm(self, task):
+        self.timer.cancel()
+
+
+class Event:
+    """Set once or again and again; all that wait are woken with the value."""
+    __slots__ = ("waiting",)
+
+    def __init__(self):
+        self.waiting = []
+
+    def arm(self, task):
+        self.waiting.append(task)
+
+    def disarm(self, task):
+        if task in self.waiting:
+            self.waiting.remove(task)
+
+    def set(self, value=None):
+        waiting, self.waiting = self.waiting, []
+        for task in waiting:
+            task.wake(value)
+
+
+class Queue:
+    """First in, first out, with a bound: back-pressure on whoever puts."""
+
+    def __init__(self, most):
+        self.most, self.items = most, deque()
+        self.came, self.went = Event(), Event()
+
+    def put_now(self, item) -> bool:
+        """False where it is full; the item is not taken."""
+        if len(self.items) >= self.most:
+            return False
+        self.items.append(item)
+        self.came.set()
+        return True
+
+    def put(self, item):
+        while not self.put_now(item):
+            yield self.went
+
+    def get(self):
+        while not self.items:
+            yield self.came
+        item = self.items.popleft()
+        self.went.set()
+        return item
+
+
+class Deadline:
+    """`with Deadline(loop, delay):` inside a task; at most one TimedOut is thrown, and only inside it."""
+
+    def __init__(self, loop, delay):
+        self.loop, self.delay = loop, delay
+        self.passed = False
+
+    def __enter__(self):
+        self.task = self.loop.current
+        self.timer = self.loop.call_in(self.delay, self.fire)
+        return self
+
+    def fire(self):
+        self.passed = True
+        self.task.interrupt(self)
+
+    def __exit__(self, kind, value, trace):
+        self.timer.cancel()
+        self.task.spare(self)
+        return False
+
+
+class Task:
+    def __init__(self, loop, generator, name):
+        self.loop, self.generator, self.name = loop, generator, name
+        self.wait, self.value, self.ready = None, None, False
+        self.thrown = deque()                          # interruptions not yet delivered
+        self.plain = False                             # woken by what it waited for, not by an interruption
+        self.done, self.result, self.trouble = False, None, None
+        self.ended, self.watched = Event(), False
+
+    def arm(self, task):
+        if self.done:
+            task.wake()
+        else:
+            self.ended.arm(task)
+
+    def disarm(self, task):
+        self.ended.disarm(task)
+
+    def wake(self, value=None):
+        if not self.done and not self.ready:
+            self.ready, self.value, self.wait, self.plain = True, value, None, True
+            self.loop.run_queue.append(self)
+
+    def interrupt(self, why):
+        """What is thrown is delivered at a wait; a value already on its way is delivered first."""
+        if self.done:
+            return
+        self.thrown.append(why)
+        if self.wait is not None:
+            self.wait.disarm(self)
+            self.wake()
+            self.plain = False
+
+    def spare(self, why):
+        self.thrown = deque(x for x in self.thrown if x is not why)
+
+    def cancel(self):
+        if not self.done and Cancelled not in self.thrown:
+            self.interrupt(Cancelled)
+
+    def step(self):
+        self.ready, value, self.value = False, self.value, None
+        self.loop.current = self
+        try:
+            while True:
+                if self.thrown and not self.plain:
+                    why = self.thrown.popleft()
+                    wait = self.generator.throw(Cancelled() if why is Cancelled else TimedOut(
+                        f"{self.name}: nothing came within {why.delay} us"))
+                else:
+                    wait = self.generator.send(value)
+                value, self.plain = None, False
+                if not self.thrown:
+                    break
+        except StopIteration as end:
+            self.end(end.value, None)
+        except Cancelled:
+            self.end(None, None)
+        except Exception as trouble:
+            self.end(None, trouble)
+        else:
+            self.wait = wait
+            wait.arm(self)
+        finally:
+            self.loop.current = None
+
+    def end(self, result, trouble):
+        self.done, self.result, self.trouble = True, result, trouble
+        self.loop.tasks.discard(self)
+        heard = self.watched or self.ended.waiting
+        self.ended.set()
+        if trouble is not None and not heard:
+            self.loop.on_death(self, trouble)
+
+    def join(self):
+        """Waits for its end; its exception is raised here too."""
+        if not self.done:
+            yield self
+        if self.trouble is not None:
+            raise self.trouble
+        return self.result
+
+
+class Loop:
+    """One thread's tasks and timers over one kernel."""
+
+    def __init__(self, kernel, on_death=None):
+        self.kernel, self.timers, self.run_queue = kernel, Timers(), deque()
+        self.tasks, self.current, self.stopping = set(), None, False
+        self.turn_at = self.polled_at = self.polled_before = kernel.now()
+        self.after_turn = []                           # called at the end of each turn, in order
+        self.on_death = on_death or self.raise_it
+        self.lag = None                                # called with how late a due timer was, where set
+
+    @staticmethod
+    def raise_it(task, trouble):
+        raise trouble
+
+    def now(self):
+        """The time of this turn: all that happens in a turn happens at one time."""
+        return self.turn_at
+
+    def spawn(self, generator, name):
+        task = Task(self, generator, name)
+        self.tasks.add(task)
+        task.wake()
+        return task
+
+    def call_at(self, at, call):
+        timer = Timer(at, call, self)
+        self.timers.add(timer)
+        return timer
+
+    def call_in(self, delay, call):
+        return self.call_at(self.kernel.now() + max(0, delay), call)
+
+    def turn(self):
+        """What is ready, then what is due, then the tasks that these woke, then the end of the turn."""
+        until = self.kernel.now() if self.run_queue else self.timers.next_at()
+        ready = self.kernel.poll(until)
+        self.polled_before, self.polled_at = self.polled_at, self.kernel.now()
+        self.turn_at = self.polled_at
+        for handle, read, write in ready:
+            if read and handle.reader is not None:
+                task, handle.reader = handle.reader, None
+                task.wake()
+            if write and handle.writer is not None:
+                task, handle.writer = handle.writer, None
+                task.wake()
+        first = self.timers.next_at()
+        if self.lag is not None and first is not None and first <= self.turn_at:
+            self.lag(self.turn_at - first)
+        for call in self.timers.due(self.turn_at):
+            call()
+        for _ in range(len(self.run_queue)):           # what they wake waits for the next turn: no starving
+            self.run_queue.popleft().step()
+        for call in self.after_turn:
+            call()
+
+    def run(self, until=None):
+        """Turns until `until` (a task) has ended, or until `stop`. Raises what that task raised."""
+        if until is not None:
+            until.watched = True
+        while not self.stopping and not (until is not None and until.done):
+            self.turn()
+        if until is not None and until.trouble is not None:
+            raise until.trouble
+        return until.result if until is not None else None
+
+    def stop(self):
+        self.stopping = True
+
+    def close(self, turns=1000):
+        """Cancels every task and lets their `finally` blocks run, within a bound."""
+        for _ in range(turns):
+            if not self.tasks:
+                return
+            for task in sorted(self.tasks, key=lambda t: t.name):
+                task.cancel()
+            self.call_in(1000, lambda: None)
+            self.turn()
+
+
--- /dev/null
+++ b/cobaltpond/sheet/parts.py
@@ -0,0 +1,250 @@
+"""What a sheet consists of: one frozen record a call of the Starlark file. Times are whole microseconds."""
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(min_length=1, max_length=80)]
+Span = Annotated[int, Meta(ge=1000, description="a time: ms(...) or s(...), at least 1 ms")]
+Pause = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Many = Annotated[int, Meta(ge=0)]
+Price = Annotated[float, Meta(ge=0)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$", description="host:port")]
+
+
+class Part(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One call; what is wrong beyond a field's own bounds is said by `wrong`."""
+
+    def wrong(self, sheet: dict) -> str | None:
+        return None
+
+
+class PathGroup(Part, kw_only=True):
+    name: Name
+    target_latency: Span
+    client_timeout: Span
+    kind: Literal["repeatable", "tagged", "mutating"] = "mutating"
+    scope: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Pause = 0
+    benefit: Price = 1.0
+    late_benefit: Share = 0.0
+    target_stretch: Price = 0.0
+
+    def wrong(self, sheet):
+        if self.target_latency > self.client_timeout:
+            return "target_latency is longer than client_timeout"
+        if self.kind == "tagged" and not self.repeat_window:
+            return "a tagged path group needs repeat_window: how long instances drop a repeat"
+        if any(g.name == self.name for g in sheet["path_group"]):
+            return f"two path groups are called {self.name!r}"
+
+
+class Route(Part, kw_only=True):
+    """`path` as sent, with `*` at its end for all below; the first route that fits holds."""
+    path: Annotated[str, Meta(pattern=r"^/[^*]*\*?$")]
+    group: Name
+    method: Literal["*", "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"] = "*"
+
+    def wrong(self, sheet):
+        if not any(g.name == self.group for g in sheet["path_group"]):
+            return f"no path group {self.group!r} above this line"
+
+
+class Customer(Part, kw_only=True):
+    name: Name
+    share: Share
+
+    def wrong(self, sheet):
+        if sum(c.share for c in sheet["customer"]) + self.share > 1.0001:
+            return "the customers' shares come to more than 1"
+
+
+class Release(Part, kw_only=True):
+    """How a build goes out, and what the desk and the gateways hold each other to."""
+    gate: Literal["any", "count", "clock"]
+    layout: Literal["beside", "in place"]
+    shares: list[Share]
+    caps: list[Share]
+    exposure_window: Span
+    exposure_free: Price = 2.0
+    exposure_by: Literal["all", "path group"] = "all"
+    shielded_stages: Many = 0
+    keys_stay: bool = False
+    on_votes: Many = 1
+    hold_votes: Many = 1
+    back_votes: Count = 1
+    vote_life: Span
+    vote_wait: Span
+    vote_rate: Annotated[float, Meta(gt=0)] = 50.0
+    dwell: Span
+    step: Span = 4_000_000
+    settle: Pause = 1_000_000
+    start_within: Span = 8_000_000
+    drain_time: Span = 1_500_000
+    news_period: Span = 4_000_000
+    tally_period: Pause = 0
+    tally_sample: Share = 0.0
+    wrong_reported: Share = 0.0
+    warm_keys: bool = False
+    delay_price: Price = 0.0
+    harm_price: Price = 0.0
+
+    def wrong(self, sheet):
+        if not self.shares or len(self.shares) != len(self.caps):
+            return "shares and caps need one figure a stage each"
+        if self.shares != sorted(self.shares) or self.caps != sorted(self.caps):
+            return "shares and caps may not fall from stage to stage"
+        if self.shares[-1] != 1.0:
+            return "the last stage's share must be 1.0: it releases the build"
+
+
+class Rules(Part, kw_only=True):
+    """The figures behind the five rules."""
+    drain_grace: Span
+    cold_time: Span
+    cold_share: Share
+    overload_factor: Price
+    tip_time: Span
+    answer_slack: Span = 20_000
+
+
+class Allow(Part, kw_only=True):
+    most_forwards: Count = 3
+    cancel: bool = True
+    probe: bool = False
+    tell: bool = False
+    advise: bool = True
+    most_advice: Span = 2_000_000
+
+
+class Reports(Part, kw_only=True):
+    how: Literal["answers", "probe", "none"] = "answers"
+    names: list[Literal["util", "inflight", "queue", "latency_ms", "qps", "eps"]] = []
+
+
+class Prices(Part, kw_only=True):
+    crossing: Price = 0.0
+    probe: Price = 0.0
+    tell: Price = 0.0
+    waste: Price = 0.0
+
+
+class Door(Part, kw_only=True):
+    """Limits towards clients: bytes, counts, times. `hold` is what of a body is kept to be sent again, and of
+    an answer before its first byte goes out (the point of no return)."""
+    head_limit: Annotated[int, Meta(ge=512)] = 16 << 10
+    target_limit: Annotated[int, Meta(ge=64)] = 4 << 10
+    field_limit: Count = 100
+    body_limit: Many = 8 << 20
+    hold: Annotated[int, Meta(ge=1024)] = 64 << 10
+    connections: Count = 8192
+    backlog: Count = 512
+    head_time: Span = 10_000_000
+    idle_time: Span = 60_000_000
+    write_time: Span = 10_000_000
+    hits: Count = 20_000
+    customer_field: Name = "cobaltpond-customer"
+    key_field: Name = "cobaltpond-key"
+    timeout_field: Name = "cobaltpond-timeout-ms"
+    again_field: Name = "cobaltpond-try"
+    cost_field: Name = "cobaltpond-cost-ms"
+
+
+class Instances(Part, kw_only=True):
+    """Limits towards instances."""
+    dial_time: Span = 250_000
+    idle_time: Span = 15_000_000
+    connections: Count = 512
+    answer_limit: Annotated[int, Meta(ge=1024)] = 1 << 30
+    probe_path: Annotated[str, Meta(pattern="^/")] = "/-/probe"
+    probe_time: Span = 250_000
+    refusals: tuple[int, ...] = (429,)
+
+
+class Listing(Part, kw_only=True):
+    address: Address
+    by: Literal["push", "asking"] = "push"
+    ask_within: Span = 10_000_000
+    silence: Span = 15_000_000
+
+
+class DeskAddress(Part, kw_only=True):
+    address: Address
+    platform: Address | None = None
+    journal: str | None = None
+
+
+class GatewayPlace(Part, kw_only=True):
+    """`door` for clients, `peers` for datagrams of other gateways, `memory`: the file of the kept list."""
+    number: Many
+    zone: Name
+    door: Address
+    peers: Address | None = None
+    memory: str | None = None
+
+    def wrong(self, sheet):
+        if self.number != len(sheet["gateway"]):
+            return f"gateways are numbered in order from 0; {len(sheet['gateway'])} comes next"
+        if any(g.door == self.door for g in sheet["gateway"]):
+            return f"two gateways at {self.door}"
+
+
+class Sheet(Struct, frozen=True):
+    """All of it. `runsheet(number)` is the plain map that the module gets."""
+    path_groups: tuple[PathGroup, ...]
+    routes: tuple[Route, ...]
+    customers: tuple[Customer, ...]
+    gateways: tuple[GatewayPlace, ...]
+    release: Release
+    rules: Rules
+    allow: Allow
+    reports: Reports
+    prices: Prices
+    door: Door
+    instances: Instances
+    listing: Listing
+    desk: DeskAddress
+    tick: int = 1000
+    over_share_benefit: float = 0.1
+
+    @property
+    def zones(self) -> list[str]:
+        return list(dict.fromkeys(g.zone for g in self.gateways))
+
+    def runsheet(self, number: int) -> dict:
+        release, rules, allow = self.release, self.rules, self.allow
+        groups = [{"name": g.name, "kind": g.kind, "scope": g.scope, "repeat_window": g.repeat_window,
+                   "target_latency": g.target_latency, "client_timeout": g.client_timeout,
+                   "benefit": g.benefit, "late_benefit": g.late_benefit,
+                   "target_stretch": g.target_stretch} for g in self.path_groups]
+        return {
+            "path_groups": groups, "customers": [{"name": c.name, "share": c.share} for c in self.customers],
+            "gateways": len(self.gateways), "number": number, "zone": self.gateways[number].zone,
+            "zones": self.zones, "tick": self.tick, "over_share_benefit": self.over_share_benefit,
+            "benefit_by": "request", "weights": "nominal", "reports": self.reports.how,
+            "report_names": list(self.reports.names), "gate": release.gate, "layout": release.layout,
+            "stage_shares": list(release.shares), "stage_caps": list(release.caps),
+            "exposure_window": release.exposure_window, "exposure_free": release.exposure_free,
+            "exposure_by": release.exposure_by, "shielded_stages": release.shielded_stages,
+            "keys_stay": release.keys_stay, "vote_life": release.vote_life, "vote_wait": release.vote_wait,
+            "vote_rate": release.vote_rate, "on_votes": release.on_votes, "back_votes": release.back_votes,
+            "hold_votes": release.hold_votes, "dwell": release.dwell, "step": release.step,
+            "news_period": release.news_period, "delay_price": release.delay_price,
+            "harm_price": release.harm_price, "tally_period": release.tally_period,
+            "tally_sample": release.tally_sample, "wrong_reported": release.wrong_reported,
+            "warm_keys": release.warm_keys, "may_cancel": allow.cancel, "may_duplicate": False,
+            "may_probe": allow.probe, "may_tell": allow.tell and len(self.gateways) > 1,
+            "may_advise": allow.advise, "most_advice": allow.most_advice, "most_forwards": allow.most_forwards,
+            "dial_time_out": self.instances.dial_time, "drain_grace": rules.drain_grace,
+            "cold_time": rules.cold_time, "cold_share": rules.cold_share,
+            "overload_factor": rules.overload_factor, "tip_time": rules.tip_time,
+            "ask_within": self.listing.ask_within, "list_by": self.listing.by,
+            "crossing_price": self.prices.crossing, "probe_price": self.prices.probe,
+            "tell_price": self.prices.tell, "waste_price": self.prices.waste,
+        }
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/cobaltpond/standins/listing.py
@@ -0,0 +1,92 @@
+"""The list of instances: revisions, a pushed stream, calls that are answered late; one service for all.
+
+Each gateway hears of a change after its own lateness (`notice` plus `added`); within that, changes keep their
+order, and none is left out. `cut(number)` says whether a gateway is out of reach.
+"""
+from cobaltpond.calls import Refusal, Stream
+from cobaltpond.loop import Sleep
+
+HISTORY = 200
+
+
+class Listing:
+    def __init__(self, loop, record, chance, notice: int, spread: int):
+        self.loop, self.record, self.chance = loop, record, chance
+        self.notice, self.spread, self.added, self.cut = notice, spread, 0, lambda number: False
+        self.epoch, self.revision, self.rows, self.history = f"e{loop.now()}", 0, {}, []
+        self.streams, self.heard, self.late = [], {}, {}   # gateway -> revision it may know, own lateness
+
+    def change(self, rows: list) -> None:
+        """`rows` as they are told, with `up_at` in place of an age."""
+        base, self.revision = self.revision, self.revision + 1
+        for row in rows:
+            if row["state"] == "gone":
+                self.rows.pop(row["id"], None)
+            else:
+                self.rows[row["id"]] = row
+        self.record("published", rows=[{k: row[k] for k in ("id", "state", "build", "start")} for row in rows])
+        self.history.append((self.loop.now(), base, rows, {id: dict(row) for id, row in self.rows.items()}))
+        del self.history[:-HISTORY]
+
+    def known(self, number: int) -> int:
+        """The revision that a gateway may hear of by now."""
+        late = self.late.setdefault(number, self.notice + self.chance.randrange(self.spread + 1)) + self.added
+        known = self.heard.get(number, 0)
+        for at, base, _, _ in self.history:
+            if at + late <= self.loop.now() and base + 1 > known:
+                known = base + 1
+        self.heard[number] = known
+        return known
+
+    def told(self, number, base, revision, rows) -> dict:
+        now = self.loop.now()
+        shown = [{**{k: v for k, v in row.items() if k != "up_at"}, "age_us": now - row["up_at"]} for row in rows]
+        self.record("list", gateway=number, base=base, revision=revision,
+                    rows=[{k: row[k] for k in ("id", "state", "build", "start")} | {"up_at": row["up_at"]}
+                          for row in rows])
+        return {"epoch": self.epoch, "revision": revision, "base": base, "rows": shown}
+
+    def since(self, number: int, after: int | None, revision: int) -> list:
+        """Objects that bring a gateway from `after` (None: nothing) to `revision`."""
+        steps = [(base, rows) for _, base, rows, _ in self.history if after is not None and after <= base < revision]
+        if after is not None and after <= revision and (not steps and after == revision
+                                                        or steps and steps[0][0] == after):
+            return [self.told(number, base, base + 1, rows) for base, rows in steps]
+        whole = next((rows for _, base, _, rows in self.history if base + 1 == revision), {})
+        return [self.told(number, None, revision, list(whole.values()))]
+
+    def handle(self, request):
+        if (request.method, request.path) != ("GET", "/v1/list"):
+            raise Refusal(404, "no such call")
+        number = int(request.query["gateway"])
+        after = int(request.query["after"]) if request.query.get("epoch") == self.epoch else None
+        if self.cut(number):
+            yield Sleep(5_000_000)
+            raise Refusal(503, "out of reach")
+        if "watch" not in request.query:
+            from cobaltpond.wire.lines import line
+            lines = [line(one) for one in self.since(number, after, self.known(number))]
+            return 200, [(b"content-type", b"application/x-ndjson")], b"".join(lines)
+        stream = Stream()
+        self.streams.append([number, after, stream, 0])
+        return stream
+
+    def push(self):
+        """Brings every stream up to what its gateway may know; a beat now and then. A task without end."""
+        while True:
+            for entry in self.streams:
+                number, after, stream, beat = entry
+                if self.cut(number) or stream.over:
+                    continue
+                known = self.known(number)
+                if after != known:
+                    for one in self.since(number, after, known):
+                        stream.put(one)
+                    entry[1] = known
+                elif self.loop.now() - beat > 2_000_000:
+                    entry[3] = self.loop.now()
+                    stream.put({"beat": True})
+            self.streams = [entry for entry in self.streams if not entry[2].over]
+            yield Sleep(10_000)
+
+
--- /dev/null
+++ b/cobaltpond/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs without I/O: bytes in, events out."""
