--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -7,7 +7,7 @@
 import click
 import structlog
 
-from cobaltpond.loop import Deadline, EpollKernel, Loop, TimedOut
+from cobaltpond.loop import Deadline, EpollKernel, Loop, TimedOut, run_part
 from cobaltpond.sheet import BadSheet, read_sheet
 from cobaltpond.sheet.parts import split_address
 
@@ -31,12 +31,6 @@
         sys.exit(2)
 
 
-def died(log):
-    def call(task, trouble):
-        log.error("task died", task=task.name, exc_info=(type(trouble), trouble, trouble.__traceback__))
-    return call
-
-
 @click.group()
 @click.version_option(package_name=None, version="0.2.0", prog_name="cobaltpond")
 def main():
@@ -144,17 +138,12 @@
         click.echo(str(trouble), err=True)
         sys.exit(2)
     folder = keep or tempfile.mkdtemp(prefix="cobaltpond-day-")
-    log = logger("day")
-    loop = Loop(EpollKernel(), died(log))
-    run = DayRun(loop, plan, folder, lambda text: click.echo(text, err=True))
-    loop.kernel.on_signals(lambda name: loop.stop())
     try:
-        result = loop.run(loop.spawn(run.run(), "day"))
+        result = run_part(EpollKernel(), lambda loop: DayRun(
+            loop, plan, folder, lambda text: click.echo(text, err=True)), logger("day"), "day")
     except DayFailed as trouble:
         click.echo(f"the day failed: {trouble}", err=True)
         sys.exit(1)
-    finally:
-        loop.close()
     if result is None:
         click.echo("stopped", err=True)
         sys.exit(1)
@@ -178,7 +167,7 @@
 @click.argument("records", type=click.Path())
 def yard(plan, records):
     from cobaltpond.standins.yard import run_yard
-    run_yard(EpollKernel(), json.load(plan), records, died(logger("yard")))
+    run_yard(EpollKernel(), json.load(plan), records, logger("yard"))
 
 
 @standin.command()
@@ -186,4 +175,4 @@
 @click.argument("records", type=click.Path())
 def crowd(plan, records):
     from cobaltpond.standins.crowd import run_crowd
-    run_crowd(EpollKernel(), json.load(plan), records, died(logger("crowd")))
+    run_crowd(EpollKernel(), json.load(plan), records, logger("crowd"))
--- a/cobaltpond/day/run.py
+++ b/cobaltpond/day/run.py
@@ -11,6 +11,7 @@
 from cobaltpond.sheet import read_sheet
 
 READY, CALL_TIME = 15_000_000, 2_000_000
+BLOCK = 400                                            # ports set aside for a day
 
 
 class DayFailed(Exception):
@@ -23,6 +24,8 @@
         self.loop, self.plan, self.folder, self.say, self.extra = loop, plan, folder, say, extra or {}
         self.acts, self.children, self.gateways, self.statuses = [], {}, {}, []
         os.makedirs(folder, exist_ok=True)
+        if os.path.exists(self.path("plan.json")):
+            raise DayFailed(f"{folder} holds another day's records")
 
     def path(self, name):
         return os.path.join(self.folder, name)
@@ -38,17 +41,20 @@
         return child
 
     def ports(self):
-        """A free run of ports below those that the system gives out by itself."""
+        """A free run of ports below those that the system gives out by itself. The first of them is held while
+        the day lasts: guards against two days that find the same run free at the same moment."""
         need = 8 * len(self.plan["places"]) + 2 * len(self.plan["gateways"]) + len(self.plan["zone_names"]) + 8
-        base = 10_000 + self.loop.kernel.seed() % 15_000
-        while base + need < 32_000:
-            held = []
+        first, blocks = self.loop.kernel.seed(), (32_000 - 10_000) // BLOCK
+        for n in range(blocks):
+            base, held = 10_000 + (first + n) % blocks * BLOCK, []
             try:
+                self.lock = self.loop.kernel.listen(("127.0.0.1", base), 1)
+                base += 1
                 for port in range(base, base + need):
                     held.append(self.loop.kernel.listen(("127.0.0.1", port), 1))
                 break
             except Unreachable:
-                base += 101
+                continue
             finally:
                 for handle in held:
                     handle.close()
@@ -112,7 +118,7 @@
                 status, body = yield from self.get(ports["doors"] + number, "GET", "/-/status")
                 self.statuses.append(body)
             _, self.desk_status = yield from self.get(ports["desk"], "GET", "/v1/status")
-            yield from self.stop()
+            yield from self.stop_all()
         finally:
             for child in self.children.values():
                 child.signal("CONT")
@@ -222,7 +228,11 @@
         self.say(f"{(kill['at'] + kill['back_after']) / 1e6:5.1f} s  gateway {number} started again")
         self.start_gateway(number)
 
-    def stop(self):
+    def stop(self, name=""):
+        """Told to stop: the day ends where it is, without a verdict."""
+        self.loop.stop()
+
+    def stop_all(self):
         """Gateways first, in order; each has to end by itself with 0."""
         for number, child in self.gateways.items():
             self.act("stopping", gateway=number)
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -3,7 +3,7 @@
 
 from cobaltpond.calls import FAILED, Refusal, Stream, call, json_answer, service
 from cobaltpond.desk.stages import Refused, Stages
-from cobaltpond.loop import Deadline, Loop, Sleep, TimedOut
+from cobaltpond.loop import Deadline, Sleep, TimedOut, run_part
 from cobaltpond.sheet.parts import split_address
 
 TICK = 20_000
@@ -185,12 +185,6 @@
                              for m in stages.machines.values()]}
 
 
-def run_desk(kernel, sheet, log, record=None):
-    def died(task, trouble):
-        log.error("task died", task=task.name, exc_info=(type(trouble), trouble, trouble.__traceback__))
-
-    loop = Loop(kernel, died)
-    desk = Desk(loop, sheet, log, record)
-    kernel.on_signals(desk.stop)
-    loop.run(loop.spawn(desk.run(), "desk"))
-    loop.close()
+def run_desk(kernel, sheet, log, record=None) -> None:
+    """Until a signal to stop."""
+    run_part(kernel, lambda loop: Desk(loop, sheet, log, record), log, "desk")
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -8,7 +8,7 @@
 from cobaltpond.gateway.instances import Places
 from cobaltpond.gateway.news import News
 from cobaltpond.gateway.peers import Peers
-from cobaltpond.loop import Loop, Sleep
+from cobaltpond.loop import Loop, Sleep, run_part
 from cobaltpond.sheet.parts import split_address
 
 START_WAIT = 10                                        # times the dial time: how long the door waits for news
@@ -91,12 +91,5 @@
 
 
 def run_gateway(kernel, sheet, number: int, log, decisions=None) -> None:
-    """Until a signal to stop. A task that dies is logged with its stack; a main task that dies ends the process."""
-    def died(task, trouble):
-        log.error("task died", task=task.name, exc_info=(type(trouble), trouble, trouble.__traceback__))
-
-    loop = Loop(kernel, died)
-    process = GatewayProcess(loop, sheet, number, log, decisions)
-    kernel.on_signals(process.stop)
-    loop.run(loop.spawn(process.run(), "gateway"))
-    loop.close()
+    """Until a signal to stop."""
+    run_part(kernel, lambda loop: GatewayProcess(loop, sheet, number, log, decisions), log, "gateway")
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -1,5 +1,6 @@
 """The only room that knows the operating system: clock, epoll, sockets, timers, tasks, processes, files."""
 from cobaltpond.loop.kernel import EpollKernel, HandlesUsedUp, Kernel, PeerLost, Refused, Unreachable
+from cobaltpond.loop.process import run_part
 from cobaltpond.loop.streams import Connection, dial, serve
 from cobaltpond.loop.tasks import (
     Cancelled,
@@ -16,5 +17,5 @@
 
 __all__ = [
     "Cancelled", "Connection", "Deadline", "EpollKernel", "Event", "HandlesUsedUp", "Kernel", "Loop", "PeerLost",
-    "Queue", "Readable", "Refused", "Sleep", "Task", "TimedOut", "Unreachable", "Writable", "dial", "serve",
+    "Queue", "Readable", "Refused", "Sleep", "Task", "TimedOut", "Unreachable", "Writable", "dial", "run_part", "serve",
 ]
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -1,6 +1,6 @@
 """Bytes over a stream handle: reads, writes with back-pressure, dials with a time-out, a bounded accept."""
 from cobaltpond.loop.kernel import HandlesUsedUp, PeerLost
-from cobaltpond.loop.tasks import Deadline, Readable, Sleep, Writable
+from cobaltpond.loop.tasks import Cancelled, Deadline, Readable, Sleep, Writable
 
 CHUNK = 1 << 16
 
@@ -93,14 +93,13 @@
             open_now.add(loop.spawn(one(Connection(loop, handle)), f"{name}-{number}"))
             if number % 64 == 0:
                 yield Sleep(0)                         # a flood of dials must not hold up the turn
-    finally:
+    except Cancelled:
         # who waits in the backlog believes to be connected and may have sent something: take them all
-        while not listener.closed:
-            try:
-                handle = listener.accept()
-            except HandlesUsedUp:
-                handle = None
-            if handle is None:
-                listener.close()
-            else:
+        try:
+            while (handle := listener.accept()) is not None:
                 loop.spawn(one(Connection(loop, handle)), f"{name}-last")
+        except HandlesUsedUp:
+            pass
+        raise
+    finally:
+        listener.close()
--- a/cobaltpond/standins/crowd.py
+++ b/cobaltpond/standins/crowd.py
@@ -8,7 +8,7 @@
 from collections import deque
 
 from cobaltpond.calls import FAILED, call
-from cobaltpond.loop import Deadline, HandlesUsedUp, Loop, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
+from cobaltpond.loop import Deadline, HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial, run_part
 from cobaltpond.loop.chance import seeded
 from cobaltpond.standins.record import Record
 from cobaltpond.wire import http1
@@ -219,13 +219,9 @@
         except (*FAILED, TimedOut):
             pass
 
-    def end(self, name=""):
+    def stop(self, name=""):
         self.stop_asked = True
 
 
-def run_crowd(kernel, plan, path, died):
-    loop = Loop(kernel, died)
-    crowd = Crowd(loop, plan, path)
-    kernel.on_signals(crowd.end)
-    loop.run(loop.spawn(crowd.run(), "crowd"))
-    crowd.record.flush()
+def run_crowd(kernel, plan, path, log):
+    run_part(kernel, lambda loop: Crowd(loop, plan, path), log, "crowd")
--- a/cobaltpond/standins/yard.py
+++ b/cobaltpond/standins/yard.py
@@ -1,7 +1,7 @@
 """The yard: stand-in instances of a whole fleet, the list of them, the platform that starts and stops them, the
 relays to the release desk, and the troubles of a day, all in one process and told what to do over HTTP."""
 from cobaltpond.calls import Refusal, json_answer, service
-from cobaltpond.loop import Loop, Sleep
+from cobaltpond.loop import Sleep, run_part
 from cobaltpond.loop.chance import seeded
 from cobaltpond.standins.instance import Instance, Marks
 from cobaltpond.standins.listing import Listing
@@ -104,7 +104,7 @@
             self.record("drain", instance=instance.id, start=instance.start)
             self.listing.change([self.row(instance)])
 
-    def stop(self, instance):
+    def end(self, instance):
         self.instances.pop(instance.id, None)
         self.record("stop", instance=instance.id, start=instance.start)
         instance.end()
@@ -149,7 +149,7 @@
             return json_answer(200, {})
         if id not in self.instances:
             raise Refusal(404, "no such machine")
-        (self.drain if what == "drain" else self.stop)(self.instances[id])
+        (self.drain if what == "drain" else self.end)(self.instances[id])
         return json_answer(200, {})
 
     # --- troubles --------------------------------------------------------------------------------------------
@@ -266,13 +266,9 @@
         while not self.stop_asked:
             yield Sleep(20_000)
 
-    def end(self, name=""):
+    def stop(self, name=""):
         self.stop_asked = True
 
 
-def run_yard(kernel, plan, path, died):
-    loop = Loop(kernel, died)
-    yard = Yard(loop, plan, path)
-    kernel.on_signals(yard.end)
-    loop.run(loop.spawn(yard.run(), "yard"))
-    yard.record.flush()
+def run_yard(kernel, plan, path, log):
+    run_part(kernel, lambda loop: Yard(loop, plan, path), log, "yard")
--- /dev/null
+++ b/tests/broken.py
@@ -0,0 +1,58 @@
+"""Gateways broken on purpose, one a rule; the day starts them with `--decisions broken:NAME`."""
+from cobaltpond.decisions.records import FOREVER, State
+from cobaltpond.decisions.rules import Gateway
+
+
+class LosesHits(Gateway):
+    """Every fortieth hit is never answered, and the host's guard against that is off."""
+
+    def __init__(self, host, *rest):
+        host.too_late = lambda hit: None
+        super().__init__(host, *rest)
+
+    def on_hit(self, now, id, *rest):
+        if id % 40:
+            super().on_hit(now, id, *rest)
+
+
+class RunsTwice(Gateway):
+    """Sends a mutating hit that came back with an error, or is slow, to another instance."""
+
+    def may_forward(self, hit, now):
+        return len(hit.forwards) < 3 and now + 2 * self.tick < hit.deadline
+
+    def watch_silent(self, now):
+        for hit in [h for h in self.hits.values() if h.state == State.OUT]:
+            if now - hit.forwards[-1].sent > 100_000 and not hit.forwards[-1].dropped:
+                hit.forwards[-1].dropped = True
+                self.host.cancel(hit.id, len(hit.forwards) - 1)
+        self.wake_by(now + 20_000, now)
+
+
+class ForgetsDrains(Gateway):
+    """Goes on sending to what the list says is draining."""
+
+    def on_list(self, now, whole, rows):
+        super().on_list(now, whole, [{**row, "state": "up" if row["state"] == "draining" else row["state"]}
+                                     for row in rows])
+
+
+class CrushesCold(Gateway):
+    """Takes a cold instance for the best one of all."""
+
+    def fits(self, hit, instance, now):
+        return self.exposure_allows(instance.build, hit.group, now)
+
+    def crowding(self, instance, now):
+        return -FOREVER if instance.warmth(now) < 1 else super().crowding(instance, now)
+
+
+class IgnoresCaps(Gateway):
+    def fits(self, hit, instance, now):
+        return instance.out < 8
+
+    def exposure_allows(self, build, group, now):
+        return True
+
+    def crowding(self, instance, now):
+        return super().crowding(instance, now) - 5 * (instance.build is self.newest)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,10 +2,11 @@
 import json
 
 import pytest
+from world import SECOND, World, answer_of, good, requests
+
 from cobaltpond.gateway.endings import SEEN
 from cobaltpond.loop import PeerLost, Sleep
 from cobaltpond.wire import http1
-from world import SECOND, World, answer_of, good, requests
 
 
 def endings(world):
@@ -157,7 +158,7 @@
     assert status == 502 and head.get(b"cobaltpond-retry") is None and endings(world) == {"server error": 1}
 
 
-@pytest.mark.parametrize("junk", [b"NOT HTTP\r\n\r\n", b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+@pytest.mark.parametrize("junk", [b"NOT HTTP\r\n\r\n", b"HTTP/1.1 200 OK\r\n" + b"content-length: 1\r\n" * 2 + b"\r\n",
                                   b"HTTP/1.1 200 OK\r\nx: " + b"y" * (70 << 10)])
 def test_an_answer_that_makes_no_sense_is_an_error(junk):
     def nonsense(world, connection):
@@ -179,8 +180,6 @@
     world = World(good, good)
 
     def go():
-        for row in world.rows[:1]:
-            world.process.follower.held.revision += 0
         # both in one turn, the hit first: what the list says is told to the decisions before it
         connection = yield from world.connect()
         yield from connection.write(http1.request("GET", "/look", [(b"host", b"t")]))
@@ -385,7 +384,8 @@
 
     def go():
         connection = yield from world.connect()
-        yield from connection.write(b"POST /pay HTTP/1.1\r\nhost: t\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n")
+        fields = [(b"host", b"t"), (b"expect", b"100-continue"), (b"content-length", b"3")]
+        yield from connection.write(http1.start("POST", b"/pay", fields))
         first = yield from connection.read()
         yield from connection.write(b"abc")
         status = (yield from answer_of(connection))[0]
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,324 @@
+"""Tasks, deadlines, cancellation, timers, sockets and children of the loop, on the real kernel."""
+import ast
+import pathlib
+import resource
+import sys
+
+import pytest
+
+from cobaltpond.loop import (
+    Deadline,
+    EpollKernel,
+    Event,
+    HandlesUsedUp,
+    Loop,
+    PeerLost,
+    Queue,
+    Refused,
+    Sleep,
+    TimedOut,
+    dial,
+    serve,
+)
+
+MS = 1000
+
+
+@pytest.fixture
+def loop():
+    deaths = []
+    loop = Loop(EpollKernel(), lambda task, trouble: deaths.append((task.name, trouble)))
+    loop.deaths = deaths
+    return loop
+
+
+def run(loop, generator):
+    return loop.run(loop.spawn(generator, "main"))
+
+
+def test_a_deadline_interrupts_and_composes(loop):
+    def inner():
+        with Deadline(loop, 500 * MS):
+            yield Sleep(5_000 * MS)
+
+    def outer():
+        began = loop.now()
+        try:
+            with Deadline(loop, 20 * MS):
+                yield from inner()
+        except TimedOut:
+            yield Sleep(1 * MS)                        # and nothing of it is left behind
+            return loop.now() - began
+    assert 20 * MS <= run(loop, outer()) < 200 * MS
+
+
+def test_a_deadline_that_passes_as_the_wait_ends_does_no_harm_afterwards(loop):
+    def go():
+        for _ in range(50):
+            try:
+                with Deadline(loop, 1 * MS):
+                    yield Sleep(1 * MS)
+            except TimedOut:
+                pass
+            yield Sleep(100)
+        return "whole"
+    assert run(loop, go()) == "whole"
+
+
+def test_cancelling_runs_finally_and_waits_in_it(loop):
+    said = []
+
+    def victim():
+        try:
+            yield Sleep(10_000 * MS)
+        finally:
+            said.append("cleaning")
+            yield Sleep(1 * MS)
+            said.append("clean")
+
+    def go():
+        task = loop.spawn(victim(), "victim")
+        yield Sleep(1 * MS)
+        task.cancel()
+        yield task
+        return said
+    assert run(loop, go()) == ["cleaning", "clean"] and not loop.deaths
+
+
+def test_a_task_cancelled_before_its_first_step_still_cleans_up(loop):
+    said = []
+
+    def victim():
+        try:
+            yield Sleep(10_000 * MS)
+        finally:
+            said.append("clean")
+
+    def go():
+        task = loop.spawn(victim(), "victim")
+        task.cancel()
+        yield task
+    run(loop, go())
+    assert said == ["clean"]
+
+
+def test_no_task_dies_in_silence(loop):
+    def bad():
+        yield Sleep(0)
+        raise ValueError("oh")
+
+    def alone():
+        loop.spawn(bad(), "bad")
+        yield Sleep(5 * MS)
+    run(loop, alone())
+    (name, trouble), = loop.deaths
+    assert name == "bad" and str(trouble) == "oh"
+
+    def joined():
+        yield from loop.spawn(bad(), "bad").join()
+    with pytest.raises(ValueError):
+        run(loop, joined())
+    assert len(loop.deaths) == 1
+
+
+def test_a_value_on_its_way_is_not_lost_to_an_interruption(loop):
+    event, got = Event(), []
+
+    def waits():
+        try:
+            with Deadline(loop, 5 * MS):
+                got.append((yield event))
+                yield Sleep(10_000 * MS)
+        except TimedOut:
+            got.append("late")
+
+    def go():
+        task = loop.spawn(waits(), "waits")
+        yield Sleep(1 * MS)
+        event.set("value")
+        task.interrupt(task)                           # in the same turn
+        task.spare(task)
+        yield task
+    run(loop, go())
+    assert got == ["value", "late"]
+
+
+def test_a_queue_holds_back_whoever_puts(loop):
+    queue, most = Queue(3), []
+
+    def puts():
+        for n in range(50):
+            yield from queue.put(n)
+            most.append(len(queue.items))
+
+    def go():
+        loop.spawn(puts(), "puts")
+        got = []
+        for _ in range(50):
+            got.append((yield from queue.get()))
+            yield Sleep(10)
+        return got
+    assert run(loop, go()) == list(range(50)) and max(most) <= 3
+
+
+def test_a_hundred_thousand_timers_stay_cheap(loop):
+    """The heap does not fill with cancelled ones, and what is due comes in order."""
+    fired = []
+    timers = [loop.call_in(3_600_000 * MS, lambda: None) for _ in range(100_000)]
+    for n in (3, 1, 2):
+        loop.call_in(n * MS, lambda n=n: fired.append(n))
+    for timer in timers[:90_000]:
+        timer.cancel()
+    assert len(loop.timers.heap) < 25_000
+
+    def go():
+        yield Sleep(10 * MS)
+    began = loop.kernel.now()
+    run(loop, go())
+    assert fired == [1, 2, 3] and loop.kernel.now() - began < 500 * MS
+
+
+def test_dials_that_are_refused_and_that_hang(loop):
+    listener = loop.kernel.listen(("127.0.0.1", 0), 0)
+    address = listener.address()
+    closed = loop.kernel.listen(("127.0.0.1", 0), 1)
+    nobody = closed.address()
+    closed.close()
+
+    def go():
+        with pytest.raises(Refused):
+            yield from dial(loop, nobody, 200 * MS)
+        kept, late = [], False
+        for _ in range(20):                            # nobody accepts: the backlog fills, and then dials hang
+            try:
+                kept.append((yield from dial(loop, address, 50 * MS)))
+            except TimedOut:
+                late = True
+                break
+        for connection in kept:
+            connection.close()
+        return late
+    assert run(loop, go())
+
+
+def test_bytes_both_ways_with_a_peer_that_reads_late_then_resets(loop):
+    listener = loop.kernel.listen(("127.0.0.1", 0), 8)
+    got = []
+
+    def answer(connection):
+        yield Sleep(30 * MS)
+        while sum(map(len, got)) < 5 << 20:
+            got.append((yield from connection.read()))
+        connection.abort()
+
+    def go():
+        task = loop.spawn(serve(loop, listener, answer, 4, "serve"), "serve")
+        connection = yield from dial(loop, listener.address(), 500 * MS)
+        yield from connection.write(b"x" * (5 << 20))
+        with pytest.raises(PeerLost):
+            while (yield from connection.read()):
+                pass
+        connection.close()
+        with pytest.raises(PeerLost):
+            yield from connection.read()
+        task.cancel()
+        yield task
+    run(loop, go())
+    assert sum(map(len, got)) == 5 << 20
+
+
+def test_used_up_descriptors_at_accept_and_at_dial(loop):
+    """Accepting waits and goes on; dialling says so; what is open is not touched."""
+    listener = loop.kernel.listen(("127.0.0.1", 0), 64)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def answer(connection):
+        while data := (yield from connection.read()):
+            yield from connection.write(data)
+
+    def go():
+        task = loop.spawn(serve(loop, listener, answer, 64, "echo", pause=5 * MS), "echo")
+        first = yield from dial(loop, listener.address(), 500 * MS)
+        yield Sleep(5 * MS)
+        second = loop.kernel.dial(listener.address())  # waits in the backlog
+        hoard = []
+        resource.setrlimit(resource.RLIMIT_NOFILE, (200, hard))
+        try:
+            with pytest.raises(HandlesUsedUp):
+                while True:
+                    hoard.append(loop.kernel.dial(
+                        listener.address()))
+            yield from first.write(b"still here")
+            assert (yield from first.read()) == b"still here"
+            yield Sleep(20 * MS)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for handle in hoard:
+                handle.close()
+        from cobaltpond.loop import Connection
+        late = Connection(loop, second)
+        yield from late.write(b"late")
+        with Deadline(loop, 2_000 * MS):
+            assert (yield from late.read()) == b"late"
+        for connection in (first, late):
+            connection.close()
+        task.cancel()
+        yield task
+    run(loop, go())
+    assert not loop.deaths
+
+
+def test_children_end_and_are_told_to(loop, tmp_path):
+    child = loop.kernel.spawn([sys.executable, "-c", "print('up', flush=True); import time; time.sleep(60)"],
+                              str(tmp_path / "out"))
+
+    def go():
+        with Deadline(loop, 5_000 * MS):
+            while b"up" not in (loop.kernel.read_file(str(tmp_path / "out")) or b""):
+                yield Sleep(5 * MS)
+            child.signal("TERM")
+            while child.ended() is None:
+                yield Sleep(2 * MS)
+        return child.ended()
+    assert run(loop, go()) == -15
+
+
+def test_nobody_goes_round_the_kernel():
+    """Above loop/ nothing reads clocks, sockets, chance, processes or files by itself. The command line reads
+    the files that it is given; the decisions and the bench's adapter import only what they always did."""
+    root = pathlib.Path(__file__).parent.parent / "cobaltpond"
+    forbidden = {"time", "socket", "select", "selectors", "random", "subprocess", "threading", "asyncio", "signal",
+                 "secrets", "datetime", "uuid", "resource", "multiprocessing"}
+    bad = []
+    for path in sorted(root.rglob("*.py")):
+        room = path.relative_to(root).parts[0]
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else (
+                [node.module or ""] if isinstance(node, ast.ImportFrom) else [])
+            bad += [f"{path.name}: import {n}" for n in names if n.split(".")[0] in forbidden and room != "loop"]
+            if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id == "open":
+                bad += [f"{path.name}: open"] if room not in ("loop", "cli") else []
+            if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and node.value.id == "os":
+                fine = room == "loop" or node.attr in ("path", "makedirs")
+                bad += [] if fine else [f"{path.name}: os.{node.attr}"]
+    assert not bad, bad
+
+
+def test_rooms_import_only_from_rooms_below():
+    """The order of docs/architecture.md."""
+    order = ["decisions", "benchlink", "loop", "wire", "sheet", "calls", "audit", "gateway", "desk", "standins", "day",
+             "cli"]
+    alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
+             "audit": {"audit"}, "desk": {"desk", "loop", "wire", "sheet", "calls"}, "sheet": {"sheet"},
+             "standins": {"standins", "loop", "wire", "calls"}}
+    root, bad = pathlib.Path(__file__).parent.parent / "cobaltpond", []
+    for path in sorted(root.rglob("*.py")):
+        room = path.relative_to(root).parts[0]
+        if room not in order:
+            continue
+        allowed = alone.get(room, set(order[:order.index(room) + 1]))
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("cobaltpond."):
+                other = node.module.split(".")[1]
+                bad += [f"{path.relative_to(root)} imports {other}"] if other not in allowed else []
+    assert not bad, bad
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,7 +1,7 @@
 """One process with a gateway, a scripted list, desk and instances, and raw clients, on real loopback sockets."""
 import json
 
-from cobaltpond.calls import Stream, json_answer, service
+from cobaltpond.calls import Stream, service
 from cobaltpond.gateway.main import GatewayProcess
 from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, dial, serve
 from cobaltpond.sheet import read_sheet
