--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -1,13 +1,14 @@
 """Codecs, the sheet, the kept list: bytes cut anywhere, torn files, figures that make no sense."""
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cobaltpond.gateway.follow import Gap, Held
 from cobaltpond.gateway.routes import Routes
 from cobaltpond.gateway.shares import Shares
 from cobaltpond.sheet import BadSheet, read_sheet
 from cobaltpond.wire import http1, orca
 from cobaltpond.wire.lines import BadLine, Lines, line
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 EXAMPLE = open("examples/resale.star").read()
 fixed = settings(derandomize=True, deadline=None, max_examples=150)
@@ -25,7 +26,8 @@
 
 
 TOKEN = st.text("abcdefgh-", min_size=1, max_size=8).map(str.encode)
-HIT = st.tuples(st.sampled_from(["GET", "POST"]), st.lists(st.tuples(TOKEN.map(lambda n: b"x-" + n), TOKEN), max_size=4),
+FIELD = st.tuples(TOKEN.map(lambda name: b"x-" + name), TOKEN)
+HIT = st.tuples(st.sampled_from(["GET", "POST"]), st.lists(FIELD, max_size=4),
                 st.binary(max_size=200), st.booleans())
 
 
@@ -87,7 +89,8 @@
             Lines(most=100).feed(junk)
 
 
-ROW = {"id": "i1", "address": "127.0.0.1:1", "build": 4, "zone": "a", "cell": 0, "state": "up", "start": 7, "age_us": 50}
+ROW = {"id": "i1", "address": "127.0.0.1:1", "build": 4, "zone": "a", "cell": 0, "state": "up", "start": 7,
+       "age_us": 50}
 
 
 def told(revision, base, *rows, epoch="e"):
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -2,6 +2,7 @@
 import json
 
 import pytest
+
 from cobaltpond.audit.check import RULES
 from cobaltpond.cli.main import main
 from cobaltpond.day.frombench import BadDay, from_bench
@@ -19,7 +20,8 @@
 traffic(group = "look", share = 0.6, work = ms(80))
 traffic(group = "pay", share = 0.4, work = ms(80), method = "POST")
 release(gate = "clock", layout = "%(layout)s", shares = [0.34, 1.0], caps = [0.3, 1.0], exposure_window = s(2),
-        vote_life = s(5), vote_wait = ms(800), dwell = ms(500), step = ms(1200), settle = ms(300), news_period = s(1), drain_time = s(1))
+        vote_life = s(5), vote_wait = ms(800), dwell = ms(500), step = ms(1200), settle = ms(300), news_period = s(1),
+        drain_time = s(1))
 rules(drain_grace = ms(250), cold_time = s(3), cold_share = 0.4, overload_factor = 2.0, tip_time = ms(1000))
 reports(names = ["inflight"])
 gateway(zone = "north")
@@ -54,8 +56,8 @@
 
 
 def broken_day(rule):
-    return {"cold instances": day("in place", rate=70.0, cores=1),
-            "no effect twice": day(more='trouble(kind = "slow", at = s(1), length = s(5), size = 4.0, on = [0, 1, 2, 3])'),
+    slow = 'trouble(kind = "slow", at = s(1), length = s(5), size = 4.0, on = [0, 1, 2, 3])'
+    return {"cold instances": day("in place", rate=70.0, cores=1), "no effect twice": day(more=slow),
             "drains kept": day("in place", length=9)}.get(rule, day())
 
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -1,10 +1,11 @@
 """The release desk's stages, free of I/O: both layouts, three gates, machines that come and go as they like."""
 import pytest
-from cobaltpond.desk.stages import GOING_BACK, RELEASED, TRIAL, WITHDRAWN, Refused, Stages
-from cobaltpond.sheet.parts import Release
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cobaltpond.desk.stages import GOING_BACK, RELEASED, TRIAL, WITHDRAWN, Refused, Stages
+from cobaltpond.sheet.parts import Release
+
 S = 1_000_000
 
 
@@ -127,7 +128,8 @@
         elif what == "offer":
             fleet.stages.offer(fleet.now, max([fleet.stages.build, *fleet.stages.offered]) + 1)
         elif what == "lose" and fleet.stages.machines:
-            fleet.stages.machine(fleet.now, sorted(fleet.stages.machines)[n % len(fleet.stages.machines)], "", 0, "gone")
+            ids = sorted(fleet.stages.machines)
+            fleet.stages.machine(fleet.now, ids[n % len(ids)], "", 0, "gone")
         fleet.run(1.5 if what == "wait" else 0.2)
     fleet.run(15)
     wanted = sorted((place, build) for place, builds in fleet.stages.wanted().items() for build in builds)
