--- a/bench/relay.py
+++ b/bench/relay.py
@@ -51,8 +51,8 @@
         return lambda *arguments: None
 
 
-def responder(ports):
-    """Bare answers on many ports, with a load report, as cheap as asyncio makes it."""
+def responder(ports, delay=0.0):
+    """Bare answers on many ports, with a load report, as cheap as asyncio makes it; `delay` in seconds."""
     answer = b"HTTP/1.1 200 OK\r\ncontent-length: 64\r\nendpoint-load-metrics: TEXT named_metrics.inflight=1\r\n\r\n"
     answer += b"x" * 64
 
@@ -61,7 +61,11 @@
             self.transport = transport
 
         def data_received(self, data):
-            self.transport.write(answer * data.count(b"\r\n\r\n"))
+            whole = answer * data.count(b"\r\n\r\n")
+            if delay:
+                asyncio.get_running_loop().call_later(delay, self.transport.write, whole)
+            else:
+                self.transport.write(whole)
 
     async def go():
         loop = asyncio.get_running_loop()
@@ -198,7 +202,7 @@
 
 def main():
     if len(sys.argv) > 1 and sys.argv[1] == "responder":
-        return responder([int(p) for p in sys.argv[2:]])
+        return responder([int(p) for p in sys.argv[3:]], float(sys.argv[2]))
     if len(sys.argv) > 1 and sys.argv[1] == "peers":
         return list_and_desk(int(sys.argv[2]), int(sys.argv[3]), [int(p) for p in sys.argv[4:]])
     if len(sys.argv) > 1 and sys.argv[1] == "aiohttp":
@@ -219,7 +223,7 @@
     core = max(os.sched_getaffinity(0))
     ports, children = free(INSTANCES), []
     try:
-        children.append(start("responder", *ports))
+        children.append(start("responder", 0, *ports))
         wait_for(ports[-1])
         print(f"{'':<28}{'hits/s':>9}{'p50 ms':>9}{'p99 ms':>9}{'CPU us':>10}{'failed':>8}")
         measure("direct", ports, words.hits, words.clients, None)
--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -141,7 +141,7 @@
     try:
         result = run_part(EpollKernel(), lambda loop: DayRun(
             loop, plan, folder, lambda text: click.echo(text, err=True)), logger("day"), "day")
-    except DayFailed as trouble:
+    except (DayFailed, BadSheet) as trouble:
         click.echo(f"the day failed: {trouble}", err=True)
         sys.exit(1)
     if result is None:
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -195,6 +195,7 @@
         """Keeps it; one on trial, against the newest build or while that is suspect calls for a look."""
         build = sample.instance.build
         build.enter(group.name, sample)
+        self.window(build, group, sample.at)           # trimmed unjudged too: against weeks without a release
         against = sample.errored or self.said != "fine" or self.phase == "trial" or (
             sample.latency > MARGIN * group.usual)
         if build is self.newest and against and not self.fresh:
@@ -298,6 +299,7 @@
         before = self.cap_of(told)
         if (told, stage) != (self.newest, self.stage):
             self.held_time, self.fresh = 0, True
+            self.kept_keys = {key: b for key, b in self.kept_keys.items() if b in (told, self.newest)}
         self.newest, self.stage, self.phase, self.cap, self.stage_began = told, stage, phase, cap, now - age
         if phase != "released" and (before is None or cap < before):
             told.counted_from = now + self.sheet.get("drain_grace", 0)
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -77,8 +77,8 @@
     vote_life: Span
     vote_wait: Span
     vote_rate: Annotated[float, Meta(gt=0)] = 50.0
-    dwell: Span
-    step: Span = 4_000_000
+    dwell: Pause
+    step: Pause = 4_000_000
     settle: Pause = 1_000_000
     start_within: Span = 8_000_000
     drain_time: Span = 1_500_000
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -277,3 +277,18 @@
         bench.serve(14_000 * MS, steady(400), every=400 * MS)
         votes.append({a[2] for _, _, a in bench.host.named("vote")})
     assert "back" not in votes[0] and "back" in votes[1]
+
+
+def test_weeks_without_a_release_keep_no_more_than_days():
+    """Found by the soak on sockets: evidence was trimmed only where a build was judged."""
+    bench = Bench([row("a"), row("b")], keys_stay=True)
+    for n in range(3000):
+        bench.hit(key=n)
+        bench.end(bench.host.open[-1])
+        bench.host.now += 10 * MS
+        bench.host.calls.clear()
+    build = bench.gateway.fleet.build(1)
+    assert len(build.samples["look"]) <= 480
+    bench.news(2, 0, "trial", 0.2)
+    bench.news(3, 0, "trial", 0.2)
+    assert not bench.gateway.kept_keys
