--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -116,7 +116,7 @@
     records = sound()
     for n in range(8):
         records.hit(T + n * 1000, forwards=[("a", 0, "ok")])
-    for n in range(4):
+    for n in range(6):
         records.hit(T + 10_000 + n, "pay", [("c", 0, "ok")])
     assert records.broken() == [] and records.broken(exposure_by="path group") == [EXPOSED]
     assert sound().broken(shielded_stages=1) == [EXPOSED]   # it has tagged and mutating hits on trial
