--- a/cobaltpond/standins/instance.py
+++ b/cobaltpond/standins/instance.py
@@ -31,7 +31,7 @@
         self.machine, self.listener, self.start = machine, listener, machine.started
         self.silent, self.most, self.shake, self.lie = False, 100_000, 0, 1.0
         self.connections, self.timer, self.over = set(), None, False
-        self.shown, self.shown_at = {}, -(1 << 60)
+        self.shown, self.coming, self.shown_at = {}, {}, -(1 << 60)
         self.task = self.loop.spawn(self.accept(), f"{id}-accept")
 
     def accept(self):
@@ -211,11 +211,12 @@
             self.plan()
 
     def report(self):
-        """Refreshed now and then, a little noisy; a lying one says it has less to do than it has."""
+        """Refreshed now and then, a period late, a little noisy; a lying one says it has less to do than it has."""
         yard = self.yard
         if self.loop.now() - self.shown_at > yard.report_period:
             self.shown_at = self.loop.now()
             noise = 1 + yard.chance.uniform(-0.1, 0.1)
-            self.shown = {name: value * noise * self.lie for name, value in self.machine.report().items()
-                          if name in yard.report_names}
+            self.shown, self.coming = self.coming, {
+                name: value * noise * self.lie for name, value in self.machine.report().items()
+                if name in yard.report_names}
         return orca.HEADER, orca.write(self.shown)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,10 +2,12 @@
 import json
 
 import pytest
-from world import SECOND, World, answer_of, good, requests
+from world import SECOND, SHEET, World, answer_of, free_ports, good, requests
 
 from cobaltpond.gateway.endings import SEEN
-from cobaltpond.loop import PeerLost, Sleep
+from cobaltpond.gateway.peers import Peers
+from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep
+from cobaltpond.sheet import read_sheet
 from cobaltpond.wire import http1
 
 
@@ -475,6 +477,50 @@
     assert name == "on_news" and rest[-2:] == (True, answer)
 
 
+def test_a_list_that_is_asked_for_is_asked_in_time_and_failures_are_heard():
+    world = World(good, by="asking")
+
+    def go():
+        assert (yield from world.ask())[0] == 200
+        yield from world.until(lambda: world.asked >= 3)
+        world.list_fails = True
+        yield from world.until(lambda: world.process.follower.counts["errors"])
+        assert (yield from world.ask())[0] == 200      # the last list heard still holds
+        world.list_fails, world.revision = False, 5
+        yield from world.until(lambda: world.process.follower.held.revision == 5)
+    world.run(go())
+
+
+def test_datagrams_are_taken_from_gateways_of_the_sheet_only():
+    loop, heard = Loop(EpollKernel()), []
+    a, b, c, door = free_ports(loop.kernel, 4)
+    names = {"more": "", "list": 1, "by": "push", "desk": 1, "door": door, "peers": a}
+    second = f'gateway(number = 1, zone = "a", door = "127.0.0.1:9", peers = "127.0.0.1:{b}")'
+    sheet = read_sheet("x", SHEET % names + second)
+
+    class Host:
+        def post(self, *told):
+            heard.append(told)
+    one, two = (Peers(loop, sheet, g, Host()) for g in sheet.gateways)
+    stranger = loop.kernel.datagrams(("127.0.0.1", c))
+
+    def go():
+        task = loop.spawn(two.listen(), "listen")
+        assert one.tell(1, b"hello") and one.tell(None, b"all") and not one.tell(1, b"x" * 257)
+        assert not one.tell(7, b"nobody")
+        for junk in (b"", b"cp", b"cp\0\0\0\5hello"):
+            stranger.send(junk, ("127.0.0.1", b))
+        one.handle.send(b"cp\0\1\0\5hello", ("127.0.0.1", b))    # another's number
+        one.handle.send(b"cp\0\0\0\6hello", ("127.0.0.1", b))    # another length
+        with Deadline(loop, 5 * SECOND):
+            while two.counts["odd"] < 5:
+                yield Sleep(1000)
+        task.cancel()
+        yield task
+    loop.run(loop.spawn(go(), "main"))
+    assert heard == [("on_peer", 0, b"hello"), ("on_peer", 0, b"all")]
+
+
 def test_every_ending_is_one_that_the_decisions_know():
     from typing import get_args
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,7 +1,7 @@
 """One process with a gateway, a scripted list, desk and instances, and raw clients, on real loopback sockets."""
 import json
 
-from cobaltpond.calls import Stream, service
+from cobaltpond.calls import Refusal, Stream, json_answer, service
 from cobaltpond.gateway.main import GatewayProcess
 from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, dial, serve
 from cobaltpond.sheet import read_sheet
@@ -25,7 +25,7 @@
 rules(drain_grace = ms(250), cold_time = s(2), cold_share = 0.5, overload_factor = 2.0, tip_time = ms(1500))
 reports(names = ["inflight"])
 %(more)s
-listing(address = "127.0.0.1:%(list)d", by = "%(by)s")
+listing(address = "127.0.0.1:%(list)d", by = "%(by)s", ask_within = ms(900))
 desk(address = "127.0.0.1:%(desk)d", platform = "127.0.0.1:%(desk)d")
 gateway(number = 0, zone = "a", door = "127.0.0.1:%(door)d", peers = "127.0.0.1:%(peers)d")
 """
@@ -54,6 +54,7 @@
         self.deaths = []
         self.loop = Loop(EpollKernel(), lambda task, trouble: self.deaths.append((task.name, trouble)))
         self.log, self.votes, self.streams, self.desk_script = Log(), [], [], None
+        self.asked, self.list_fails = 0, False
         names = dict(zip(("list", "desk", "door", "peers"), free_ports(self.loop.kernel, 4), strict=True))
         self.door = ("127.0.0.1", names["door"])
         self.sheet = read_sheet("test.star", SHEET % {**names, "more": more, "by": by})
@@ -77,6 +78,12 @@
         return answer
 
     def on_list(self, request):
+        if self.list_fails:
+            raise Refusal(503, "not now")
+        if "watch" not in request.query:
+            self.asked += 1
+            whole = {"epoch": "e", "revision": self.revision, "base": None, "rows": self.rows}
+            return json_answer(200, whole)
         stream = Stream()
         stream.put({"epoch": "e", "revision": self.revision, "base": None, "rows": self.rows})
         self.streams.append(stream)
