Agents fetch, check, start and take back builds; the desk orders hosts and survives its own end

Need: builds that come through agents, taken back as dependably as started. Found: a desk that came back gave out a generation that a host had heard with other wishes, so its take-back was ignored (kills of desk and agent together); generations now grow with each start. A property test found that a build which had failed could not be kept.

--- /dev/null
+++ b/cobaltpond/agent/main.py
@@ -0,0 +1,367 @@
+"""The running agent of one host: follows the desk's orders, carries out what `states.py` says, reports."""
+import json
+import os
+
+import msgspec
+
+from cobaltpond.agent.states import STARTING, UP, Place, Slot
+from cobaltpond.builds.fetch import Fetcher, FetchFailed
+from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, read_manifest
+from cobaltpond.builds.store import Full, Rotten, Store
+from cobaltpond.calls import FAILED, LineStream, Waits, call
+from cobaltpond.keep import Journal
+from cobaltpond.loop import Deadline, Refused, Sleep, TimedOut, Unreachable, run_part
+from cobaltpond.loop.chance import seeded
+from cobaltpond.sheet.parts import split_address
+
+LOOK = 40_000                                          # how often processes are looked at
+REPORT = 300_000
+CALL_TIME = 1_000_000
+OUTPUT = 1 << 20                                       # bytes kept of what an instance prints
+PORTS = 8
+
+
+class Process:
+    """One instance of this place, alive or about to be: what the journal knows of it, and its child."""
+
+    def __init__(self, build, mark, port, child=None):
+        self.build, self.mark, self.port, self.child = build, mark, port, child
+        self.began, self.listed = None, None
+
+
+class Agent:
+    def __init__(self, loop, sheet, host, log):
+        self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
+        kernel, builds = loop.kernel, sheet.builds
+        kernel.make_folder(host.folder)
+        self.journal = Journal(kernel, self.path("journal"))
+        self.store = Store(kernel, self.path("store"), builds.most)
+        self.ring = msgspec.json.decode(kernel.read_file(builds.keys) or b"{}", type=Ring)
+        self.fetcher = Fetcher(loop, self.store, [split_address(s) for s in builds.sources],
+                               seeded(kernel.seed()).randrange, builds.rate)
+        self.place, self.processes, self.tasks, self.manifests = Place(), {}, {}, {}
+        self.port, self.stop_asked, self.changed = 0, False, True
+        self.waits = Waits(50_000, 1_000_000, kernel.seed())
+
+    def path(self, *names):
+        return os.path.join(self.host.folder, *names)
+
+    def stop(self, name=""):
+        """Instances go on; the next start takes them on."""
+        self.stop_asked = True
+
+    def run(self):
+        self.recover()
+        for generator, name in ((self.follow(), "orders"), (self.report(), "report"), (self.watch(), "watch")):
+            self.loop.spawn(generator, name)
+        pruned = self.loop.now()
+        while not self.stop_asked:
+            yield Sleep(20_000)
+            if self.loop.now() - pruned > self.sheet.builds.prune_after // 100:
+                pruned = self.loop.now()
+                self.prune()
+
+    # --- over a restart ------------------------------------------------------------------------------------------
+
+    def recover(self):
+        """The last order and the marks of processes that were begun come from the journal; a process that
+        still carries its mark is taken on, whatever its number."""
+        order, marks = None, {}
+        for record in ([self.journal.state] if self.journal.state else []) + self.journal.records:
+            order = record.get("order", order)
+            for row in record.get("processes", []):
+                marks[row["mark"]] = row
+            if "begun" in record:
+                marks[record["begun"]["mark"]] = record["begun"]
+            marks.pop(record.get("ended"), None)
+        self.place.generation = order["generation"] if order else -1
+        wishes = {int(b): w for b, w in (order["wishes"] if order else {}).items()}
+        for row in marks.values():
+            child = self.loop.kernel.adopt(row["mark"])
+            self.port = max(self.port, (row["port"] - self.host.ports + 1) % PORTS)
+            if child is not None:
+                process = Process(row["build"], row["mark"], row["port"], child)
+                process.began = self.loop.now()
+                self.processes[row["build"]] = process
+                self.log.info("taken on", build=row["build"], pid=child.pid)
+        todo = []
+        for build in sorted({*wishes, *self.processes}):
+            slot = self.place.slots[build] = Slot(build)
+            slot.wish = wishes.get(build, "gone")
+            if build in self.processes:
+                todo += [(build, action) for action in slot.adopted(False)]
+                if slot.state == STARTING:
+                    todo.append((build, "probe"))
+            else:
+                todo += [(build, action) for action in slot.on(slot.wish)]
+        self.place.forget()
+        self.act(todo)
+
+    def note(self, record):
+        if self.journal.long:
+            self.journal.snapshot({"order": self.last_order(), "processes": [
+                {"build": p.build, "mark": p.mark, "port": p.port} for p in self.processes.values()]})
+        self.journal.append(record)
+        self.journal.sync()
+
+    def last_order(self):
+        return {"generation": self.place.generation,
+                "wishes": {str(b): s.wish for b, s in self.place.slots.items()}}
+
+    # --- orders and reports --------------------------------------------------------------------------------------
+
+    def follow(self):
+        while True:
+            stream = LineStream(self.loop, split_address(self.sheet.desk.address))
+            try:
+                yield from stream.open(f"/v1/orders?place={self.host.place}", CALL_TIME)
+                while (told := (yield from stream.next())) is not None:
+                    self.waits.reset()
+                    for one in told:
+                        self.order(one["order"])
+            except (*FAILED, TimedOut, KeyError, ValueError) as trouble:
+                self.log.warning("desk out of reach", why=f"{type(trouble).__name__}: {trouble}")
+            finally:
+                stream.close()
+            yield Sleep(self.waits.next())
+
+    def order(self, order):
+        wishes = {int(build): wish for build, wish in order["wishes"].items()}
+        if order["generation"] <= self.place.generation:
+            return
+        self.note({"order": order})                    # before anything is done for it
+        self.log.info("order", generation=order["generation"], wishes=order["wishes"])
+        self.act(self.place.order(order["generation"], wishes))
+
+    def said(self):
+        return {"place": self.host.place, "generation": max(0, self.place.generation),
+                "done": self.place.carried_out(), "slots": [
+                    {"build": b, "state": s.state, "id": self.id_of(b), "why": s.why}
+                    for b, s in self.place.slots.items()]}
+
+    def report(self):
+        """At every change, and now and then all the same."""
+        last, at = None, 0
+        while True:
+            said = self.said()
+            if said != last or self.loop.now() - at > REPORT:
+                try:
+                    with Deadline(self.loop, CALL_TIME):
+                        status, _ = yield from call(self.loop, split_address(self.sheet.desk.address), "POST",
+                                                    "/v1/reports", json.dumps(said).encode(), CALL_TIME)
+                    last, at = (said if status == 200 else None), self.loop.now()
+                except (*FAILED, TimedOut):
+                    last = None
+            yield Sleep(20_000)
+
+    # --- what the states ask for ---------------------------------------------------------------------------------
+
+    def event(self, build, event, why=""):
+        slot = self.place.slots.get(build)
+        before = slot.state if slot else "none"
+        actions = self.place.event(build, event, why)
+        after = self.place.slots[build].state if build in self.place.slots else "absent"
+        if after != before:
+            self.log.info("build", build=build, after=event, state=after, why=why)
+        self.act(actions)
+
+    def act(self, actions):
+        for build, action in actions:
+            getattr(self, "do_" + action.replace(" ", "_"))(build)
+
+    def task(self, build, name, generator):
+        """One task of a kind for each build; a new one takes the place of the old."""
+        self.leave(build, name)
+        self.tasks[build, name] = self.loop.spawn(generator, f"{name}-{build}")
+
+    def leave(self, build, name):
+        task = self.tasks.pop((build, name), None)
+        if task is not None:
+            task.cancel()
+
+    def after(self, build, delay, event):
+        def wait():
+            yield Sleep(delay)
+            self.event(build, event)
+        self.task(build, event, wait())
+
+    def do_fetch(self, build):
+        self.task(build, "fetch", self.fetch(build))
+
+    def do_leave_fetch(self, build):
+        self.leave(build, "fetch")
+
+    def fetch(self, build):
+        """What is here whole is not fetched again: a take-back needs no source."""
+        try:
+            signed = self.store.manifest(build)
+            if signed is None:
+                signed = yield from self.fetcher.manifest(build, MOST_BYTES)
+            now = self.loop.kernel.wall() // 1_000_000
+            manifest = read_manifest(signed, self.ring, now, ordered=build, most_size=self.sheet.builds.most)
+            self.manifests[build] = manifest, signed
+            if build not in self.store.builds():
+                yield from self.fetcher.fetch(manifest)
+        except (FetchFailed, Unfit, Full) as trouble:
+            self.event(build, "unfetched", f"{type(trouble).__name__}: {trouble}")
+            return
+        self.event(build, "fetched")
+
+    def do_check(self, build):
+        """In a task of its own, so that the event comes after the state has changed."""
+        def check():
+            manifest, signed = self.manifests[build]
+            try:
+                self.store.assemble(manifest, signed)
+                if not self.store.sound(manifest):
+                    self.store.discard(build)
+                    raise Rotten("its tree does not hold what the manifest says")
+            except (Rotten, Full) as trouble:
+                self.event(build, "unsound", f"{type(trouble).__name__}: {trouble}")
+                return
+            self.event(build, "checked")
+            yield from ()
+        self.task(build, "check", check())
+
+    def do_start(self, build):
+        """The mark is on disk before the process is: a crash between the two leaves a mark that nobody carries."""
+        manifest, _ = self.manifests.get(build) or self.remember(build)
+        taken = {p.port for p in self.processes.values()}
+        for _ in range(PORTS):
+            self.port = (self.port + 1) % PORTS
+            if self.host.ports + self.port not in taken:
+                break
+        process = Process(build, f"{self.loop.kernel.seed():016x}", self.host.ports + self.port)
+        self.note({"begun": {"build": build, "mark": process.mark, "port": process.port}})
+        words = [w.replace("{port}", str(process.port)) for w in manifest.entry]
+        argv = [os.path.join(self.store.tree(build), words[0]), *words[1:]]
+        try:
+            process.child = self.loop.kernel.spawn(argv, self.path(f"output-{build}"), process.mark)
+        except Unreachable as trouble:
+            self.after(build, 0, "exited")
+            self.log.warning("not started", build=build, why=str(trouble))
+            return
+        process.began = self.loop.now()
+        self.processes[build] = process
+        self.do_probe(build)
+
+    def remember(self, build):
+        signed = self.store.manifest(build)
+        now = self.loop.kernel.wall() // 1_000_000
+        self.manifests[build] = read_manifest(signed, self.ring, now, ordered=build), signed
+        return self.manifests[build]
+
+    def do_probe(self, build):
+        process = self.processes[build]
+        manifest, _ = self.manifests.get(build) or self.remember(build)
+
+        def probe():
+            end = self.loop.now() + self.sheet.builds.ready_time
+            while self.loop.now() < end:
+                try:
+                    with Deadline(self.loop, CALL_TIME):
+                        status, _ = yield from call(self.loop, (self.host.address, process.port), "GET",
+                                                    manifest.health, b"", CALL_TIME)
+                    if status == 200:
+                        return self.event(build, "ready")
+                except (*FAILED, TimedOut):
+                    pass
+                yield Sleep(LOOK)
+            self.event(build, "late", "not ready in time")
+        self.task(build, "probe", probe())
+
+    def watch(self):
+        """Looks after processes: their ends, and how much they print."""
+        while True:
+            yield Sleep(LOOK)
+            for build, process in list(self.processes.items()):
+                if process.child.ended() is not None:
+                    code = process.child.ended()
+                    del self.processes[build]
+                    self.leave(build, "probe")
+                    self.note({"ended": process.mark})
+                    self.tell_list(build, process, "gone")
+                    self.event(build, "exited", f"ended with {code}")
+                path = self.path(f"output-{build}")
+                if (self.loop.kernel.size(path) or 0) > OUTPUT:
+                    self.loop.kernel.truncate(path, 0)
+
+    def signal(self, build, name):
+        process = self.processes.get(build)
+        if process is None:
+            self.after(build, 0, "exited")
+        else:
+            process.child.signal_all(name)
+
+    def do_stop(self, build):
+        self.signal(build, "TERM")
+
+    def do_kill(self, build):
+        self.leave(build, "probe")
+        self.signal(build, "KILL")
+
+    def do_wait_drained(self, build):
+        self.after(build, self.sheet.release.drain_time, "drained")
+
+    def do_wait_overdue(self, build):
+        self.after(build, self.sheet.builds.stop_time, "overdue")
+
+    def do_wait_rested(self, build):
+        self.after(build, self.place.slots[build].rest(), "rested")
+
+    # --- the list ------------------------------------------------------------------------------------------------
+
+    def id_of(self, build):
+        process = self.processes.get(build)
+        return f"{self.host.place}.{process.port - self.host.ports}" if process else ""
+
+    def do_list_up(self, build):
+        self.leave(build, "drained")
+        self.tell_list(build, self.processes[build], "up")
+
+    def do_list_draining(self, build):
+        if build in self.processes:
+            self.tell_list(build, self.processes[build], "draining")
+
+    def do_list_gone(self, build):
+        pass                                           # told when its end was seen
+
+    def tell_list(self, build, process, state):
+        if state == "gone" and process.listed is None:
+            return
+        process.listed = state
+        row = {"id": f"{self.host.place}.{process.port - self.host.ports}", "zone": self.host.zone,
+               "cell": self.host.cell, "address": f"{self.host.address}:{process.port}", "build": build,
+               "state": state, "start": process.mark, "age_us": self.loop.now() - process.began}
+
+        def tell():
+            """Until it is heard: what the list says must come true."""
+            waits = Waits(50_000, 1_000_000, self.loop.kernel.seed())
+            while True:
+                try:
+                    with Deadline(self.loop, CALL_TIME):
+                        status, _ = yield from call(self.loop, split_address(self.sheet.listing.address), "POST",
+                                                    "/v1/instances", json.dumps(row).encode(), CALL_TIME)
+                    if status == 200:
+                        return
+                except (*FAILED, TimedOut):
+                    pass
+                yield Sleep(waits.next())
+        self.task(process.mark, "list", tell())
+
+    def prune(self):
+        """Never what runs or may be returned to: every build that the order names is kept."""
+        keep = set(self.place.slots) | {p.build for p in self.processes.values()}
+        needed = {name for build in keep for name in (
+            self.manifests[build][0].chunks() if build in self.manifests else ())}
+        gone = self.store.prune(keep, self.sheet.builds.prune_after, needed)
+        if gone:
+            self.log.info("pruned", builds=gone)
+
+
+def run_agent(kernel, sheet, host, log) -> None:
+    """Until a signal to stop. Raises Refused where another agent has this folder."""
+    run_part(kernel, lambda loop: Agent(loop, sheet, host, log), log, "agent")
+
+
+__all__ = ["Agent", "Refused", "UP", "run_agent"]
--- /dev/null
+++ b/cobaltpond/agent/states.py
@@ -0,0 +1,119 @@
+"""What an agent does about one build in its place: a state machine free of I/O, every (state, event) defined.
+
+Orders are wishes: `run` it, `keep` it fetched and sound, or have it `gone`. They carry a generation; older and
+repeated ones change nothing. A wish is followed at once from any state: nothing waits for the step under way, and what
+that step brings later is an event that its state ignores.
+"""
+ABSENT, FETCHING, CHECKING, HELD, STARTING, UP, DRAINING, STOPPING, RESTING, FAILED = (
+    "absent", "fetching", "checking", "held", "starting", "up", "draining", "stopping", "resting", "failed")
+STATES = (ABSENT, FETCHING, CHECKING, HELD, STARTING, UP, DRAINING, STOPPING, RESTING, FAILED)
+WISHES = ("run", "keep", "gone")
+EVENTS = (*WISHES, "fetched", "unfetched", "checked", "unsound", "ready", "late", "exited", "drained", "overdue",
+          "rested")
+MOST_CRASHES = 4                                       # in a row, before it counts as failed
+FIRST_REST, MOST_REST = 250_000, 4_000_000             # microseconds; doubles
+
+# state: event -> (next state, actions). "?" is where the wish leads: see `aim`. What is not named is ignored.
+TABLE = {
+    ABSENT: {"run": (FETCHING, "fetch"), "keep": (FETCHING, "fetch")},
+    FETCHING: {"gone": (ABSENT, "leave fetch"), "fetched": (CHECKING, "check"), "unfetched": (FAILED,)},
+    CHECKING: {"gone": (ABSENT,), "checked": ("?",), "unsound": (FAILED,)},
+    HELD: {"run": (STARTING, "start"), "gone": (ABSENT,)},
+    # it has never been listed: no drain is owed, and a take-back does not wait for it to become ready
+    STARTING: {"keep": (STOPPING, "kill"), "gone": (STOPPING, "kill"), "ready": (UP, "list up"),
+               "late": (STOPPING, "kill", "count crash"), "exited": ("crash",)},
+    UP: {"keep": (DRAINING, "list draining", "wait drained"), "gone": (DRAINING, "list draining", "wait drained"),
+         "exited": ("crash", "list gone")},
+    DRAINING: {"run": (UP, "list up"), "drained": (STOPPING, "stop", "wait overdue"), "exited": ("?", "list gone")},
+    STOPPING: {"overdue": (STOPPING, "kill"), "exited": ("?", "list gone")},
+    RESTING: {"keep": (HELD,), "gone": (ABSENT,), "rested": ("?",)},
+    FAILED: {"run": (FETCHING, "fetch"), "keep": (FETCHING, "fetch"), "gone": (ABSENT,)},
+}
+
+
+def aim(wish: str) -> tuple:
+    """From a state in which the build is whole and no process runs."""
+    return {"run": (STARTING, "start"), "keep": (HELD,), "gone": (ABSENT,)}[wish]
+
+
+class Slot:
+    """One build in one place. `on` gives the actions of an event."""
+
+    def __init__(self, build: int):
+        self.build, self.state, self.wish, self.crashes, self.why = build, ABSENT, "gone", 0, ""
+
+    def on(self, event: str, why: str = "") -> list[str]:
+        if event not in EVENTS:
+            raise ValueError(f"no event {event!r}")
+        if event in WISHES:
+            if event == "run" and self.wish != "run" or self.state == FAILED:
+                self.crashes = 0                       # a new order is a new beginning
+            self.wish = event
+        row = TABLE[self.state].get(event)
+        if row is None:
+            return []
+        to, *actions = row
+        if why:
+            self.why = why
+        if "count crash" in actions:
+            actions.remove("count crash")
+            self.crashes += 1
+        if to == "crash":
+            self.crashes += 1
+            to = FAILED if self.crashes >= MOST_CRASHES else RESTING
+            actions += ["wait rested"] if to == RESTING else []
+        elif to == "?":
+            if self.wish == "run" and self.crashes >= MOST_CRASHES:
+                to = FAILED
+            elif self.wish == "run" and self.state == STOPPING and self.crashes:
+                to, actions = RESTING, [*actions, "wait rested"]
+            else:
+                to, *more = aim(self.wish)
+                actions = [*actions, *more]
+        elif to == UP:
+            self.why = ""
+        self.state = to
+        return actions
+
+    def rest(self) -> int:
+        return min(MOST_REST, FIRST_REST << max(0, self.crashes - 1))
+
+    def adopted(self, ready: bool) -> list[str]:
+        """After a restart of the agent: its process is found alive. What it was when the agent died does not
+        matter: what is wished now decides, through the ordinary events."""
+        self.state = UP if ready else STARTING
+        return self.on(self.wish)
+
+
+class Place:
+    """All builds of one place, and the generation of the order that is followed."""
+
+    def __init__(self):
+        self.generation, self.slots = -1, {}
+
+    def order(self, generation: int, wishes: dict[int, str]) -> list[tuple[int, str]]:
+        """(build, action) pairs; none for an order that is old or has been heard."""
+        if generation <= self.generation:
+            return []
+        self.generation = generation
+        actions = []
+        for build in sorted({*self.slots, *wishes}):
+            slot = self.slots.setdefault(build, Slot(build))
+            actions += [(build, action) for action in slot.on(wishes.get(build, "gone"))]
+        self.forget()
+        return actions
+
+    def event(self, build: int, event: str, why: str = "") -> list[tuple[int, str]]:
+        slot = self.slots.get(build)
+        actions = [(build, action) for action in slot.on(event, why)] if slot else []
+        self.forget()
+        return actions
+
+    def forget(self) -> None:
+        for build in [b for b, s in self.slots.items() if s.state == ABSENT and s.wish == "gone"]:
+            del self.slots[build]
+
+    def carried_out(self) -> bool:
+        """Is all as the last order says?"""
+        done = {"run": UP, "keep": HELD, "gone": ABSENT}
+        return all(slot.state == done[slot.wish] for slot in self.slots.values())
--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -70,12 +70,25 @@
     """Runs the release desk."""
     from cobaltpond.desk.service import run_desk
     sheet = sheet_of(file)
-    if sheet.desk.platform is None:
-        click.echo(f"{file}: desk(...): platform is needed to run a desk", err=True)
+    if sheet.desk.platform is None and not sheet.hosts:
+        click.echo(f"{file}: desk(...): a platform, or host(...) calls, are needed to run a desk", err=True)
         sys.exit(2)
     run_desk(EpollKernel(), sheet, logger("desk"))
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--place", required=True, help="Which place of the sheet this host is.")
+def agent(file, place):
+    """Runs the agent of one host. Its instances go on when it ends, and are taken on by the next start."""
+    from cobaltpond.agent.main import run_agent
+    sheet = sheet_of(file)
+    host = next((h for h in sheet.hosts if h.place == place), None)
+    if host is None:
+        raise click.BadParameter(f"the sheet has no host(place = {place!r})", param_hint="--place")
+    run_agent(EpollKernel(), sheet, host, logger(f"agent-{place}"))
+
+
 def ask(file, method, target, body=None):
     """One call to the desk of a sheet."""
     from cobaltpond.calls import FAILED, call
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -2,7 +2,8 @@
 import json
 
 from cobaltpond.calls import FAILED, Refusal, Stream, call, json_answer, service
-from cobaltpond.desk.stages import Refused, Stages
+from cobaltpond.desk.hosts import Hosts
+from cobaltpond.desk.stages import NOTHING, Refused, Stages
 from cobaltpond.keep import Journal
 from cobaltpond.loop import Deadline, Sleep, TimedOut, run_part
 from cobaltpond.sheet.parts import split_address
@@ -16,7 +17,9 @@
 
     def __init__(self, loop, sheet, log, record=None):
         self.loop, self.sheet, self.log, self.record = loop, sheet, log, record
-        self.platform = split_address(sheet.desk.platform)
+        self.platform = split_address(sheet.desk.platform) if sheet.desk.platform else None
+        self.hosts, self.epoch = None, loop.kernel.wall() // 1_000_000
+        self.order_streams, self.sent = {}, {}
         self.stages, self.streams, self.last, self.told_at = None, {}, None, 0
         self.stop_asked, self.kept, self.journal = False, None, None
         if sheet.desk.journal:
@@ -26,9 +29,16 @@
 
     def run(self):
         listener = self.loop.kernel.listen(split_address(self.sheet.desk.address))
-        yield from self.first_look()
-        self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
-        self.loop.spawn(self.watch_platform(), "platform")
+        if self.sheet.hosts:
+            self.stages = Stages(self.sheet.release, [h.place for h in self.sheet.hosts], NOTHING, self.loop.now())
+            self.carry_on()
+            self.hosts = Hosts([h.place for h in self.sheet.hosts], self.sheet.builds.changes, self.epoch)
+            self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
+            yield from self.hear_hosts()
+        else:
+            yield from self.first_look()
+            self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
+            self.loop.spawn(self.watch_platform(), "platform")
         self.log.info("desk open", build=self.stages.build, places=len(self.stages.places))
         while not self.stop_asked:
             yield Sleep(TICK)
@@ -37,6 +47,52 @@
     def stop(self, name=""):
         self.stop_asked = True
 
+    def hear_hosts(self):
+        """Orders wait until the hosts have said what they run, or have been silent for as long as a start may
+        take: guards against a desk that has just come back and takes everything for missing."""
+        end = self.loop.now() + self.sheet.release.start_within
+        while self.loop.now() < end and any(h.heard_at is None for h in self.hosts.hosts.values()):
+            yield Sleep(TICK)
+        for place in self.hosts.hosts:
+            self.hosts.adopt(place)
+
+    def report(self, body):
+        """A host says how it stands."""
+        try:
+            rows = self.hosts.report(self.loop.now(), body)
+        except (KeyError, TypeError, ValueError) as trouble:
+            raise Refusal(400, f"no report: {trouble!r}") from None
+        place, listed = body["place"], {row[0] for row in rows}
+        for id in [id for id, m in self.stages.machines.items() if m.place == place and id not in listed]:
+            self.stages.machine(self.loop.now(), id, "", 0, "gone")
+        for row in rows:
+            self.stages.machine(self.loop.now(), *row)
+        return json_answer(200, {})
+
+    def follow_orders(self, request):
+        place = request.query.get("place")
+        if place not in self.hosts.hosts:
+            raise Refusal(404, f"no place {place!r}")
+        stream = Stream()
+        self.order_streams.setdefault(place, []).append(stream)
+        self.sent.pop(place, None)
+        return stream
+
+    def send_orders(self):
+        """To each host its present wishes, when they have changed and when it has come back."""
+        stages = self.stages
+        keep = {b for b in (stages.stable, stages.build, *stages.offered) if b}
+        for place, streams in self.order_streams.items():
+            order = self.hosts.order(place, keep)
+            if order["wishes"] != self.sent.get(place, {}).get("wishes") and place in self.sent:
+                self.hosts.hosts[place].generation = max(order["generation"], self.sent[place]["generation"] + 1)
+                order = self.hosts.order(place, keep)
+            if self.sent.get(place) != order:
+                self.sent[place] = order
+                for stream in [s for s in streams if not s.over]:
+                    stream.put({"order": order})
+                self.order_streams[place] = [s for s in streams if not s.over]
+
     def first_look(self):
         """The platform's instances at the start: their build is the released one."""
         while self.stages is None:
@@ -60,6 +116,7 @@
         kept = self.journal.records[-1] if self.journal.records else self.journal.state
         if kept is not None:
             self.stages.load(kept, self.loop.now())
+            self.epoch = max(self.epoch, kept.get("epoch", 0) + 1)
             self.log.info("carried on", build=self.stages.build, stage=self.stages.stage, phase=self.stages.phase)
         self.keep()
 
@@ -68,7 +125,7 @@
         the desk: guards against telling what a restart would forget."""
         if self.journal is None:
             return
-        state = self.stages.dump()
+        state = {**self.stages.dump(), "epoch": self.epoch}
         mark = {name: value for name, value in state.items() if name not in ("at", "held")}
         if mark != self.kept:
             if self.journal.long:
@@ -107,9 +164,14 @@
         now, stages = self.loop.now(), self.stages
         stages.tick(now)
         self.keep()
-        for order in stages.orders(now):
+        orders = stages.orders(now)
+        for order in orders:
             self.log.info("order", order=list(order))
-            self.loop.spawn(self.carry(order), "order")
+            if not self.hosts:
+                self.loop.spawn(self.carry(order), "order")
+        if self.hosts:
+            self.hosts.take_orders(now, orders)
+            self.send_orders()
         while stages.story:
             at, build, stage, phase, why = stages.story.pop(0)
             self.log.info("release", build=build, stage=stage, phase=phase, why=why)
@@ -154,6 +216,10 @@
             return self.wrong(request.json())
         if route == ("POST", "/v1/builds"):
             return self.offer(request.json())
+        if self.hosts and route == ("GET", "/v1/orders"):
+            return self.follow_orders(request)
+        if self.hosts and route == ("POST", "/v1/reports"):
+            return self.report(request.json())
         if route == ("GET", "/v1/status"):
             return json_answer(200, self.status())
         raise Refusal(404, "no such call")
@@ -214,6 +280,7 @@
         return {"news": stages.news(now), "stable": stages.stable, "offered": stages.offered,
                 "clock_us": None if stages.clock is None else now - stages.clock,
                 "votes": {v: stages.standing(now, v) for v in ("on", "hold", "back")},
+                "missing": self.hosts.missing(now) if self.hosts else [],
                 "streams": sum(map(len, self.streams.values())), "orders": missing,
                 "machines": [{"id": m.id, "place": m.place, "build": m.build, "state": m.state}
                              for m in stages.machines.values()]}
--- a/cobaltpond/desk/stages.py
+++ b/cobaltpond/desk/stages.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 
 TRIAL, GOING_BACK, RELEASED, WITHDRAWN = "trial", "going back", "released", "withdrawn"
-NEXT = {TRIAL: {TRIAL, GOING_BACK, RELEASED}, GOING_BACK: {WITHDRAWN}, RELEASED: {TRIAL, GOING_BACK},
+NEXT = {TRIAL: {TRIAL, GOING_BACK, RELEASED}, GOING_BACK: {WITHDRAWN}, RELEASED: {RELEASED, TRIAL, GOING_BACK},
         WITHDRAWN: {TRIAL}}
+NOTHING = 0                                            # the build of an empty fleet
 ORDER_AGAIN = 2_000_000                                # an order not seen carried out is given again
 
 
@@ -95,7 +96,7 @@
     def wanted(self) -> dict:
         """place -> the builds that should run there."""
         if self.phase == RELEASED:
-            return {place: {self.build} for place in self.places}
+            return {place: {self.build} - {NOTHING} for place in self.places}
         if self.phase in (GOING_BACK, WITHDRAWN):
             return {place: {self.stable} for place in self.places}
         trial = set(self.trial_places())
@@ -144,6 +145,9 @@
         newest = max([self.build, *self.offered])
         if build <= newest:
             raise Refused(f"build {build} is not later than {newest}")
+        if self.build == NOTHING:                      # an empty fleet: there is no earlier build to compare with
+            self.build = build
+            return self.move(now, RELEASED, 0, "the first build")
         self.offered.append(build)
         if self.phase == TRIAL:
             self.move(now, GOING_BACK, self.stage, f"build {build} is due")
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -19,6 +19,7 @@
 
 READ, WRITE = select.EPOLLIN | select.EPOLLRDHUP, select.EPOLLOUT
 BROKEN = select.EPOLLERR | select.EPOLLHUP
+MARK = "COBALTPOND_RUN"
 LOST = {errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN, errno.ECONNABORTED, errno.ETIMEDOUT, errno.EBADF}
 USED_UP = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 
@@ -58,7 +59,8 @@
     def listen(self, address: tuple[str, int], backlog: int): ...
     def dial(self, address: tuple[str, int]): ...
     def datagrams(self, address: tuple[str, int]): ...
-    def spawn(self, argv: list[str], output: str): ...
+    def spawn(self, argv: list[str], output: str, mark: str = ""): ...
+    def adopt(self, mark: str): ...
     def on_signals(self, call) -> None: ...
     def read_file(self, path: str) -> bytes | None: ...
     def replace_file(self, path: str, data: bytes, sync: bool = True) -> None: ...
@@ -193,6 +195,40 @@
             self.process.send_signal(getattr(signal, f"SIG{name}"))
 
 
+    def signal_all(self, name: str) -> None:
+        """To the whole group that it leads."""
+        if self.ended() is None:
+            os.killpg(self.pid, getattr(signal, f"SIG{name}"))
+
+
+class Adopted:
+    """A process that an earlier start of this program began. It is known by the mark in its environment: a number
+    that the system has given to another process since does not carry it."""
+
+    def __init__(self, pid: int, mark: str):
+        self.pid, self.mark = pid, mark
+
+    def ended(self) -> int | None:
+        """-1 once it is gone; its exit code went to whoever began it."""
+        return None if carries(self.pid, self.mark) else -1
+
+    def signal_all(self, name: str) -> None:
+        if self.ended() is None:
+            try:
+                os.killpg(self.pid, getattr(signal, f"SIG{name}"))
+            except ProcessLookupError:
+                pass
+
+
+def carries(pid: int, mark: str) -> bool:
+    """Is this the leader that was started with the mark? A process that has ended has no environment left."""
+    try:
+        with open(f"/proc/{pid}/environ", "rb") as file:
+            return f"{MARK}={mark}".encode() in file.read().split(b"\0") and os.getpgid(pid) == pid
+    except (OSError, ProcessLookupError):
+        return False
+
+
 class Appending:
     """A file that only grows."""
 
@@ -283,11 +319,22 @@
         sock.bind(tuple(address))
         return Datagrams(self, sock)
 
-    def spawn(self, argv, output) -> Child:
-        """Starts a process with its own session; what it prints goes to the end of a file."""
-        with open(output, "ab") as sink:
-            return Child(subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink,
-                                          start_new_session=True))
+    def spawn(self, argv, output, mark="") -> Child:
+        """Starts a process that leads its own session and group; what it prints goes to the end of a file. A mark
+        lets a later start of this program find it again, see `adopt`. Raises Unreachable where it cannot start."""
+        try:
+            with open(output, "ab") as sink:
+                return Child(subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink,
+                                              start_new_session=True, env={**os.environ, MARK: mark}))
+        except OSError as trouble:
+            raise Unreachable(f"{argv[0]}: {trouble}") from None
+
+    def adopt(self, mark) -> Adopted | None:
+        """The living process that was started with this mark."""
+        for name in os.listdir("/proc"):
+            if name.isdigit() and carries(int(name), mark):
+                return Adopted(int(name), mark)
+        return None
 
     def on_signals(self, call) -> None:
         """`call(name)` in the loop's turn after TERM, INT or HUP has come."""
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -190,6 +190,35 @@
             return f"two gateways at {self.door}"
 
 
+class Builds(Part, kw_only=True):
+    """Where agents get builds, and what they may cost. `keys`: the file of the first key ring; `rate`: bytes a
+    second, 0 for no bound; `most`: bytes of the store."""
+    sources: list[Address]
+    keys: str
+    rate: Many = 0
+    most: Count = 20 << 30
+    prune_after: Span = 7 * 24 * 3600 * 1_000_000
+    ready_time: Span = 10_000_000
+    stop_time: Span = 3_000_000
+    changes: Count = 1 << 20
+
+
+class Host(Part, kw_only=True):
+    """One place of the fleet: `ports` is the first of eight that its instances use in turn."""
+    place: Name
+    zone: Name
+    folder: str
+    ports: Annotated[int, Meta(ge=1024, le=65527)]
+    address: Annotated[str, Meta(pattern="^[0-9.]+$")] = "127.0.0.1"
+    cell: Many = 0
+
+    def wrong(self, sheet):
+        if any(h.place == self.place for h in sheet["host"]):
+            return f"two hosts for place {self.place!r}"
+        if any(abs(h.ports - self.ports) < 8 and h.address == self.address for h in sheet["host"]):
+            return "ports overlap with another host's"
+
+
 class Sheet(Struct, frozen=True):
     """All of it. `runsheet(number)` is the plain map that the module gets."""
     path_groups: tuple[PathGroup, ...]
@@ -205,6 +234,8 @@
     instances: Instances
     listing: Listing
     desk: DeskAddress
+    builds: Builds | None = None
+    hosts: tuple[Host, ...] = ()
     tick: int = 1000
     over_share_benefit: float = 0.1
 
--- /dev/null
+++ b/cobaltpond/standins/town.py
@@ -0,0 +1,211 @@
+"""Hosts with real agents and a real desk as child processes, beside a registry and build servers in this one: to
+order releases, break builds, kill whoever it may be, and look at what runs in the end."""
+import base64
+import json
+import os
+import sys
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from cobaltpond.builds.manifest import Key, Ring
+from cobaltpond.calls import FAILED, call, json_answer, service
+from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.standins.buildserver import BuildServer, make_build
+
+SECOND = 1_000_000
+# an instance that answers its health check; how it misbehaves is a word in a file beside it
+SERVE = """#!%s -SE
+import os, signal, socket, sys, time
+flaw = open(os.path.join(os.path.dirname(os.path.abspath(__file__)), "flaw")).read()
+if flaw == "exit":
+    sys.exit(3)
+if flaw == "stubborn":
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+listener = socket.create_server(("127.0.0.1", int(sys.argv[1])), backlog=16)
+began = time.monotonic()
+while True:
+    listener.settimeout(0.05)
+    try:
+        peer, _ = listener.accept()
+    except TimeoutError:
+        peer = None
+    if flaw == "crash" and time.monotonic() - began > 0.4:
+        os._exit(9)
+    if peer is not None:
+        peer.settimeout(0.5)
+        try:
+            peer.recv(4096)
+            status = b"503 No" if flaw == "deaf" else b"200 OK"
+            peer.sendall(b"HTTP/1.1 " + status + b"\\r\\ncontent-length: 0\\r\\n\\r\\n")
+        except OSError:
+            pass
+        peer.close()
+"""
+SHEET = """
+path_group(name = "look", kind = "repeatable", target_latency = ms(500), client_timeout = ms(2000))
+route(path = "/*", group = "look")
+release(gate = "any", layout = "%(layout)s", shares = [0.34, 1.0], caps = [0.5, 1.0], exposure_window = s(2),
+        vote_life = s(20), vote_wait = ms(500), dwell = ms(200), settle = ms(100), start_within = s(4),
+        drain_time = ms(300), news_period = s(1))
+rules(drain_grace = ms(250), cold_time = s(2), cold_share = 0.5, overload_factor = 2.0, tip_time = ms(1500))
+listing(address = "127.0.0.1:%(list)d")
+desk(address = "127.0.0.1:%(desk)d", journal = "%(folder)s/desk")
+builds(sources = [%(sources)s], keys = "%(folder)s/keys.json", ready_time = s(2), stop_time = ms(600))
+gateway(number = 0, zone = "a", door = "127.0.0.1:%(door)d")
+"""
+
+
+class Town:
+    """`record`: what happened at the registry: (time, instance, build, state, start)."""
+
+    def __init__(self, loop, folder, hosts=6, layout="beside", servers=2):
+        self.loop, self.folder, self.children, self.places = loop, str(folder), {}, [f"h{n}" for n in range(hosts)]
+        kernel = loop.kernel
+        kernel.make_folder(self.folder)
+        self.key = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
+        self.servers = [BuildServer(loop, kernel.listen(("127.0.0.1", 0), 64)) for _ in range(servers)]
+        self.listed, self.record, self.ports = {}, [], self.free(hosts)
+        listener = kernel.listen(("127.0.0.1", 0), 256)
+        loop.spawn(service(loop, listener, self.registry, "registry"), "registry")
+        self.desk = ("127.0.0.1", self.ports[-1])
+        public = base64.b64encode(self.key.public_key().public_bytes_raw()).decode()
+        ring = Ring(1, [Key("town", public, 0, 1 << 40)])
+        import msgspec
+        kernel.replace_file(f"{self.folder}/keys.json", msgspec.json.encode(ring), sync=False)
+        sources = ", ".join(f'"127.0.0.1:{s.address[1]}"' for s in self.servers)
+        text = SHEET % {"layout": layout, "list": listener.address()[1], "desk": self.desk[1], "door": self.ports[-2],
+                        "folder": self.folder, "sources": sources}
+        for n, place in enumerate(self.places):
+            text += (f'host(place = "{place}", zone = "a", folder = "{self.folder}/{place}", '
+                     f'ports = {self.ports[0] + 8 * n})\n')
+        self.sheet = f"{self.folder}/town.star"
+        kernel.replace_file(self.sheet, text.encode(), sync=False)
+
+    def free(self, hosts):
+        """A run of ports: eight for each host and two more."""
+        kernel, count = self.loop.kernel, 8 * hosts + 2
+        for _ in range(200):
+            base, held = 10_000 + kernel.seed() % 20_000, []
+            try:
+                for port in range(base, base + count):
+                    held.append(kernel.listen(("127.0.0.1", port), 1))
+                return list(range(base, base + count))
+            except Exception:
+                continue
+            finally:
+                for handle in held:
+                    handle.close()
+        raise RuntimeError("no free ports")
+
+    def registry(self, request):
+        row = request.json()
+        self.record.append((self.loop.now(), row["id"], row["build"], row["state"], row["start"]))
+        if row["state"] == "gone":
+            if self.listed.get(row["id"], {}).get("start") == row["start"]:
+                del self.listed[row["id"]]
+        else:
+            self.listed[row["id"]] = row
+        return json_answer(200, {})
+
+    def add_build(self, number, flaw="good", size=200_000, wrong_key=False, salt=b""):
+        body = (salt or b"%d" % number) * (size // max(1, len(salt or b"%d" % number)))
+        key = Ed25519PrivateKey.from_private_bytes(b"x" * 32) if wrong_key else self.key
+        now = self.loop.kernel.wall() // SECOND
+        signed, chunks = make_build(number, {"serve": (SERVE % sys.executable).encode(), "flaw": flaw.encode(),
+                                             "data": body}, {"town": key}, now, now + 10_000, 16384,
+                                    ["serve", "{port}"])
+        for server in self.servers:
+            server.add(number, signed, chunks)
+        return signed, chunks
+
+    def start(self, name):
+        words = ["desk", self.sheet] if name == "desk" else ["agent", self.sheet, "--place", name]
+        self.children[name] = self.loop.kernel.spawn([sys.executable, "-m", "cobaltpond", *words],
+                                                     f"{self.folder}/{name}.log")
+
+    def kill(self, name):
+        self.children[name].signal("KILL")
+        self.children[name].process.wait()
+
+    def start_all(self):
+        for name in ("desk", *self.places):
+            self.start(name)
+
+    def ask(self, method, target, body=None):
+        with Deadline(self.loop, SECOND):
+            status, text = yield from call(self.loop, self.desk, method, target,
+                                           json.dumps(body).encode() if body is not None else b"", SECOND)
+        return status, json.loads(text)
+
+    def insist(self, method, target, body=None, bound=15 * SECOND, good=lambda status, answer: status < 300):
+        """Asks until it is answered well; for a desk that may be down."""
+        end, last = self.loop.now() + bound, None
+        while self.loop.now() < end:
+            try:
+                last = yield from self.ask(method, target, body)
+                if good(*last):
+                    return last[1]
+            except (*FAILED, TimedOut, ValueError) as trouble:
+                last = trouble
+            yield Sleep(20_000)
+        raise TimeoutError(f"{method} {target}: {last}")
+
+    def vote(self, build, stage, verdict):
+        return (yield from self.insist("POST", "/v1/votes", {
+            "gateway": 0, "build": build, "stage": stage, "verdict": verdict}, good=lambda s, a: s in (200, 409)))
+
+    def until(self, what, bound=20 * SECOND):
+        end = self.loop.now() + bound
+        while self.loop.now() < end:
+            if what():
+                return self.loop.now()
+            yield Sleep(10_000)
+        raise TimeoutError(f"not within {bound} us: running {self.running()}, listed {self.up()}")
+
+    def push(self, build, bound=20 * SECOND):
+        """Votes it on, stage by stage, until it is released."""
+        end = self.loop.now() + bound
+        while self.loop.now() < end:
+            status = yield from self.insist("GET", "/v1/status")
+            news = status["news"]
+            if (news["build"], news["phase"]) == (build, "released"):
+                return
+            yield from self.vote(build, news["stage"], "on")
+            yield Sleep(30_000)
+        raise TimeoutError(f"build {build} was not released: {status}")
+
+    def up(self):
+        """What the registry shows: (place, build) of all that are up."""
+        return sorted((row["id"].partition(".")[0], row["build"]) for row in self.listed.values()
+                      if row["state"] == "up")
+
+    def running(self):
+        """What runs in truth: (place, build) of every process that was started out of a host's store."""
+        found = []
+        for pid in [n for n in os.listdir("/proc") if n.isdigit()]:
+            try:
+                with open(f"/proc/{pid}/cmdline", "rb") as file:
+                    words = file.read().decode("latin-1").split("\0")
+            except OSError:
+                continue
+            for word in words[:4]:
+                if word.startswith(self.folder + "/") and word.endswith("/tree/serve"):
+                    parts = word[len(self.folder) + 1:].split("/")
+                    found.append((parts[0], int(parts[3])))
+        return sorted(found)
+
+    def exactly(self, build):
+        """Is this build, and nothing else, running and listed in every place?"""
+        whole = [(place, build) for place in self.places]
+        return self.running() == whole and self.up() == whole
+
+    def close(self):
+        for child in self.children.values():
+            child.signal("KILL")
+        for pid in [n for n in os.listdir("/proc") if n.isdigit()]:
+            try:
+                with open(f"/proc/{pid}/cmdline", "rb") as file:
+                    if f"{self.folder}/" in file.read().decode("latin-1") and int(pid) != os.getpid():
+                        os.kill(int(pid), 9)
+            except (OSError, ProcessLookupError):
+                continue
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -307,11 +307,12 @@
 def test_rooms_import_only_from_rooms_below():
     """The order of docs/architecture.md."""
     order = ["decisions", "benchlink", "loop", "wire", "sheet", "keep", "calls", "builds", "audit", "gateway", "desk",
-             "standins", "day", "cli"]
+             "agent", "standins", "day", "cli"]
     alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
              "audit": {"audit"}, "keep": {"keep", "loop"}, "sheet": {"sheet"}, "builds": {"builds", "loop", "wire"},
              "desk": {"desk", "keep", "loop", "wire", "sheet", "calls"},
-             "standins": {"standins", "loop", "wire", "calls"}}
+             "agent": {"agent", "builds", "keep", "loop", "wire", "sheet", "calls"},
+             "standins": {"standins", "builds", "loop", "wire", "calls"}}
     root, bad = pathlib.Path(__file__).parent.parent / "cobaltpond", []
     for path in sorted(root.rglob("*.py")):
         room = path.relative_to(root).parts[0]
