The town looks at processes through the kernel

Cause: it read the process table by itself, which the seam's test forbids. Change: two calls of the kernel. Result: loop and town tests pass.

--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -61,6 +61,8 @@
     def datagrams(self, address: tuple[str, int]): ...
     def spawn(self, argv: list[str], output: str, mark: str = ""): ...
     def adopt(self, mark: str): ...
+    def command_lines(self) -> list[tuple[int, list[str]]]: ...
+    def kill(self, pid: int) -> None: ...
     def on_signals(self, call) -> None: ...
     def read_file(self, path: str) -> bytes | None: ...
     def replace_file(self, path: str, data: bytes, sync: bool = True) -> None: ...
@@ -336,6 +338,24 @@
                 return Adopted(int(name), mark)
         return None
 
+    def command_lines(self) -> list[tuple[int, list[str]]]:
+        """(pid, words) of every other process that shows them."""
+        found = []
+        for name in os.listdir("/proc"):
+            if name.isdigit() and int(name) != os.getpid():
+                try:
+                    with open(f"/proc/{name}/cmdline", "rb") as file:
+                        found.append((int(name), file.read().decode("latin-1").split("\0")))
+                except OSError:
+                    continue
+        return found
+
+    def kill(self, pid) -> None:
+        try:
+            os.kill(pid, signal.SIGKILL)
+        except ProcessLookupError:
+            pass
+
     def on_signals(self, call) -> None:
         """`call(name)` in the loop's turn after TERM, INT or HUP has come."""
         read, write = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
--- a/cobaltpond/standins/town.py
+++ b/cobaltpond/standins/town.py
@@ -2,7 +2,6 @@
 order releases, break builds, kill whoever it may be, and look at what runs in the end."""
 import base64
 import json
-import os
 import sys
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
@@ -182,12 +181,7 @@
     def running(self):
         """What runs in truth: (place, build) of every process that was started out of a host's store."""
         found = []
-        for pid in [n for n in os.listdir("/proc") if n.isdigit()]:
-            try:
-                with open(f"/proc/{pid}/cmdline", "rb") as file:
-                    words = file.read().decode("latin-1").split("\0")
-            except OSError:
-                continue
+        for _, words in self.loop.kernel.command_lines():
             for word in words[:4]:
                 if word.startswith(self.folder + "/") and word.endswith("/tree/serve"):
                     parts = word[len(self.folder) + 1:].split("/")
@@ -202,10 +196,6 @@
     def close(self):
         for child in self.children.values():
             child.signal("KILL")
-        for pid in [n for n in os.listdir("/proc") if n.isdigit()]:
-            try:
-                with open(f"/proc/{pid}/cmdline", "rb") as file:
-                    if f"{self.folder}/" in file.read().decode("latin-1") and int(pid) != os.getpid():
-                        os.kill(int(pid), 9)
-            except (OSError, ProcessLookupError):
-                continue
+        for pid, words in self.loop.kernel.command_lines():
+            if any(word.startswith(f"{self.folder}/") for word in words):
+                self.loop.kernel.kill(pid)
