--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -79,11 +79,15 @@
         for row in marks.values():
             child = self.loop.kernel.adopt(row["mark"])
             self.port = max(self.port, (row["port"] - self.host.ports + 1) % PORTS)
+            process = Process(row["build"], row["mark"], row["port"], child)
+            process.began = self.loop.now()
             if child is not None:
-                process = Process(row["build"], row["mark"], row["port"], child)
-                process.began = self.loop.now()
                 self.processes[row["build"]] = process
                 self.log.info("taken on", build=row["build"], pid=child.pid)
+            else:                                      # it ended while nobody looked: the list may still show it
+                process.listed = "unknown"
+                self.tell_list(row["build"], process, "gone")
+                self.note({"ended": row["mark"]})
         todo = []
         for build in sorted({*wishes, *self.processes}):
             slot = self.place.slots[build] = Slot(build)
--- a/cobaltpond/standins/town.py
+++ b/cobaltpond/standins/town.py
@@ -9,7 +9,9 @@
 from cobaltpond.builds.manifest import Key, Ring
 from cobaltpond.calls import FAILED, call, json_answer, service
 from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.loop.chance import seeded
 from cobaltpond.standins.buildserver import BuildServer, make_build
+from cobaltpond.standins.listing import Listing
 
 SECOND = 1_000_000
 # an instance that answers its health check; how it misbehaves is a word in a file beside it
@@ -50,39 +52,43 @@
 listing(address = "127.0.0.1:%(list)d")
 desk(address = "127.0.0.1:%(desk)d", journal = "%(folder)s/desk")
 builds(sources = [%(sources)s], keys = "%(folder)s/keys.json", ready_time = s(2), stop_time = ms(600))
-gateway(number = 0, zone = "a", door = "127.0.0.1:%(door)d")
 """
 
 
 class Town:
     """`record`: what happened at the registry: (time, instance, build, state, start)."""
 
-    def __init__(self, loop, folder, hosts=6, layout="beside", servers=2):
+    def __init__(self, loop, folder, hosts=6, layout="beside", servers=2, gateways=1):
         self.loop, self.folder, self.children, self.places = loop, str(folder), {}, [f"h{n}" for n in range(hosts)]
         kernel = loop.kernel
         kernel.make_folder(self.folder)
         self.key = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
         self.servers = [BuildServer(loop, kernel.listen(("127.0.0.1", 0), 64)) for _ in range(servers)]
-        self.listed, self.record, self.ports = {}, [], self.free(hosts)
+        self.listed, self.record, self.ports = {}, [], self.free(hosts, gateways)
+        self.list = Listing(loop, lambda kind, **more: None, seeded(1), 200_000, 50_000)
+        loop.spawn(self.list.push(), "list-push")
         listener = kernel.listen(("127.0.0.1", 0), 256)
         loop.spawn(service(loop, listener, self.registry, "registry"), "registry")
         self.desk = ("127.0.0.1", self.ports[-1])
+        self.doors = [("127.0.0.1", self.ports[-2 - n]) for n in range(gateways)]
         public = base64.b64encode(self.key.public_key().public_bytes_raw()).decode()
         ring = Ring(1, [Key("town", public, 0, 1 << 40)])
         import msgspec
         kernel.replace_file(f"{self.folder}/keys.json", msgspec.json.encode(ring), sync=False)
         sources = ", ".join(f'"127.0.0.1:{s.address[1]}"' for s in self.servers)
-        text = SHEET % {"layout": layout, "list": listener.address()[1], "desk": self.desk[1], "door": self.ports[-2],
+        text = SHEET % {"layout": layout, "list": listener.address()[1], "desk": self.desk[1],
                         "folder": self.folder, "sources": sources}
         for n, place in enumerate(self.places):
             text += (f'host(place = "{place}", zone = "a", folder = "{self.folder}/{place}", '
                      f'ports = {self.ports[0] + 8 * n})\n')
+        for n, (_, port) in enumerate(self.doors):
+            text += f'gateway(number = {n}, zone = "a", door = "127.0.0.1:{port}")\n'
         self.sheet = f"{self.folder}/town.star"
         kernel.replace_file(self.sheet, text.encode(), sync=False)
 
-    def free(self, hosts):
-        """A run of ports: eight for each host and two more."""
-        kernel, count = self.loop.kernel, 8 * hosts + 2
+    def free(self, hosts, gateways):
+        """A run of ports: eight for each host, one for each gateway and the desk."""
+        kernel, count = self.loop.kernel, 8 * hosts + 1 + gateways
         for _ in range(200):
             base, held = 10_000 + kernel.seed() % 20_000, []
             try:
@@ -97,7 +103,11 @@
         raise RuntimeError("no free ports")
 
     def registry(self, request):
+        if request.method == "GET":
+            return self.list.handle(request)
         row = request.json()
+        shown = {k: v for k, v in row.items() if k != "age_us"}
+        self.list.change([{**shown, "up_at": self.loop.now() - row["age_us"]}])
         self.record.append((self.loop.now(), row["id"], row["build"], row["state"], row["start"]))
         if row["state"] == "gone":
             if self.listed.get(row["id"], {}).get("start") == row["start"]:
@@ -119,6 +129,8 @@
 
     def start(self, name):
         words = ["desk", self.sheet] if name == "desk" else ["agent", self.sheet, "--place", name]
+        if name.startswith("gateway-"):
+            words = ["gateway", self.sheet, "--number", name.partition("-")[2]]
         self.children[name] = self.loop.kernel.spawn([sys.executable, "-m", "cobaltpond", *words],
                                                      f"{self.folder}/{name}.log")
 
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -2,7 +2,7 @@
 import pytest
 
 from cobaltpond.loop import EpollKernel, Loop, Sleep
-from cobaltpond.standins.town import SECOND, Town
+from cobaltpond.standins.town import Town
 
 
 class Run:
@@ -92,10 +92,14 @@
         town.start("desk")
         town.start("h1")
         yield from town.until(lambda: town.exactly(1))
-        starts = {}
-        for _, id, build, state, start in town.record:
-            if state == "up":
-                starts.setdefault((id, build), set()).add(start)
-        return starts
+        town.kill("h2")
+        for pid, words in town.loop.kernel.command_lines():
+            if any(word.startswith(f"{town.folder}/h2/store") for word in words):
+                town.loop.kernel.kill(pid)             # it ends while nobody looks
+        yield from town.until(lambda: ("h2", 1) not in town.running())
+        gone = len(town.record)
+        town.start("h2")
+        yield from town.until(lambda: town.exactly(1) and len(town.record) > gone)
+        assert "gone" in [state for _, _, _, state, _ in town.record[gone:]]
     run.go(go())
-    assert not run.deaths and SECOND
+    assert not run.deaths
