--- a/cobaltpond/day/run.py
+++ b/cobaltpond/day/run.py
@@ -7,11 +7,10 @@
 from cobaltpond.audit.check import check_all
 from cobaltpond.calls import FAILED, call
 from cobaltpond.day.script import sheet_text
-from cobaltpond.loop import Deadline, Sleep, TimedOut, Unreachable
+from cobaltpond.loop import Deadline, Sleep, TimedOut, Unreachable, free_run
 from cobaltpond.sheet import read_sheet
 
 READY, CALL_TIME = 15_000_000, 2_000_000
-BLOCK = 400                                            # ports set aside for a day
 
 
 class DayFailed(Exception):
@@ -41,25 +40,12 @@
         return child
 
     def ports(self):
-        """A free run of ports below those that the system gives out by itself. The first of them is held while
-        the day lasts: guards against two days that find the same run free at the same moment."""
+        """A run of free ports, held while the day lasts."""
         need = 8 * len(self.plan["places"]) + 2 * len(self.plan["gateways"]) + len(self.plan["zone_names"]) + 8
-        first, blocks = self.loop.kernel.seed(), (32_000 - 10_000) // BLOCK
-        for n in range(blocks):
-            base, held = 10_000 + (first + n) % blocks * BLOCK, []
-            try:
-                self.lock = self.loop.kernel.listen(("127.0.0.1", base), 1)
-                base += 1
-                for port in range(base, base + need):
-                    held.append(self.loop.kernel.listen(("127.0.0.1", port), 1))
-                break
-            except Unreachable:
-                continue
-            finally:
-                for handle in held:
-                    handle.close()
-        else:
-            raise DayFailed("no free ports")
+        try:
+            self.lock, base = free_run(self.loop.kernel, need)
+        except Unreachable as trouble:
+            raise DayFailed(str(trouble)) from None
         names = iter(range(base + 8 * len(self.plan["places"]), base + need))
         ports = {"machines": base, "list": next(names), "platform": next(names), "troubles": next(names),
                  "desk": next(names), "relays": {zone: next(names) for zone in self.plan["zone_names"]}}
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -1,5 +1,6 @@
 """The only room that knows the operating system: clock, epoll, sockets, timers, tasks, processes, files."""
 from cobaltpond.loop.kernel import EpollKernel, HandlesUsedUp, Kernel, PeerLost, Refused, Unreachable
+from cobaltpond.loop.ports import free_run
 from cobaltpond.loop.process import run_part
 from cobaltpond.loop.streams import Connection, dial, serve
 from cobaltpond.loop.tasks import (
@@ -17,5 +18,6 @@
 
 __all__ = [
     "Cancelled", "Connection", "Deadline", "EpollKernel", "Event", "HandlesUsedUp", "Kernel", "Loop", "PeerLost",
-    "Queue", "Readable", "Refused", "Sleep", "Task", "TimedOut", "Unreachable", "Writable", "dial", "run_part", "serve",
+    "Queue", "Readable", "Refused", "Sleep", "Task", "TimedOut", "Unreachable", "Writable", "dial", "free_run",
+    "run_part", "serve",
 ]
--- a/cobaltpond/standins/town.py
+++ b/cobaltpond/standins/town.py
@@ -8,7 +8,7 @@
 
 from cobaltpond.builds.manifest import Key, Ring
 from cobaltpond.calls import FAILED, call, json_answer, service
-from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.loop import Deadline, Sleep, TimedOut, free_run
 from cobaltpond.loop.chance import seeded
 from cobaltpond.standins.buildserver import BuildServer, make_build
 from cobaltpond.standins.listing import Listing
@@ -64,7 +64,9 @@
         kernel.make_folder(self.folder)
         self.key = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
         self.servers = [BuildServer(loop, kernel.listen(("127.0.0.1", 0), 64)) for _ in range(servers)]
-        self.listed, self.record, self.ports = {}, [], self.free(hosts, gateways)
+        self.listed, self.record = {}, []
+        self.lock, base = free_run(kernel, 8 * hosts + 1 + gateways)
+        self.ports = list(range(base, base + 8 * hosts + 1 + gateways))
         self.list = Listing(loop, lambda kind, **more: None, seeded(1), 200_000, 50_000)
         loop.spawn(self.list.push(), "list-push")
         listener = kernel.listen(("127.0.0.1", 0), 256)
@@ -86,22 +88,6 @@
         self.sheet = f"{self.folder}/town.star"
         kernel.replace_file(self.sheet, text.encode(), sync=False)
 
-    def free(self, hosts, gateways):
-        """A run of ports: eight for each host, one for each gateway and the desk."""
-        kernel, count = self.loop.kernel, 8 * hosts + 1 + gateways
-        for _ in range(200):
-            base, held = 10_000 + kernel.seed() % 20_000, []
-            try:
-                for port in range(base, base + count):
-                    held.append(kernel.listen(("127.0.0.1", port), 1))
-                return list(range(base, base + count))
-            except Exception:
-                continue
-            finally:
-                for handle in held:
-                    handle.close()
-        raise RuntimeError("no free ports")
-
     def registry(self, request):
         if request.method == "GET":
             return self.list.handle(request)
@@ -206,6 +192,7 @@
         return self.running() == whole and self.up() == whole
 
     def close(self):
+        self.lock.close()
         for child in self.children.values():
             child.signal("KILL")
         for pid, words in self.loop.kernel.command_lines():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,11 +2,11 @@
 import json
 
 import pytest
-from world import SECOND, SHEET, World, answer_of, free_ports, good, requests
+from world import SECOND, SHEET, World, answer_of, good, requests
 
 from cobaltpond.gateway.endings import SEEN
 from cobaltpond.gateway.peers import Peers
-from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep
+from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, free_run
 from cobaltpond.sheet import read_sheet
 from cobaltpond.wire import http1
 
@@ -498,8 +498,9 @@
 
 def test_datagrams_are_taken_from_gateways_of_the_sheet_only():
     loop, heard = Loop(EpollKernel()), []
-    a, b, c, door = free_ports(loop.kernel, 4)
-    names = {"more": "", "list": 1, "by": "push", "desk": 1, "door": door, "peers": a}
+    lock, a = free_run(loop.kernel, 4)
+    b, c = a + 1, a + 2
+    names = {"more": "", "list": 1, "by": "push", "desk": 1, "door": a + 3, "peers": a}
     second = f'gateway(number = 1, zone = "a", door = "127.0.0.1:9", peers = "127.0.0.1:{b}")'
     sheet = read_sheet("x", SHEET % names + second)
 
@@ -523,6 +524,7 @@
         task.cancel()
         yield task
     loop.run(loop.spawn(go(), "main"))
+    lock.close()
     assert heard == [("on_peer", 0, b"hello"), ("on_peer", 0, b"all")]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,7 +3,7 @@
 
 from cobaltpond.calls import Refusal, Stream, json_answer, service
 from cobaltpond.gateway.main import GatewayProcess
-from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, dial, serve
+from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, dial, free_run, serve
 from cobaltpond.sheet import read_sheet
 from cobaltpond.wire import http1
 
@@ -39,14 +39,6 @@
         return lambda event, **more: self.lines.append((level, event, more))
 
 
-def free_ports(kernel, count):
-    held = [kernel.listen(("127.0.0.1", 0), 1) for _ in range(count)]
-    ports = [handle.address()[1] for handle in held]
-    for handle in held:
-        handle.close()
-    return ports
-
-
 class World:
     """`scripts`: one generator function `(world, connection)` an instance, called for each connection to it."""
 
@@ -55,7 +47,8 @@
         self.loop = Loop(EpollKernel(), lambda task, trouble: self.deaths.append((task.name, trouble)))
         self.log, self.votes, self.streams, self.desk_script = Log(), [], [], None
         self.asked, self.list_fails = 0, False
-        names = dict(zip(("list", "desk", "door", "peers"), free_ports(self.loop.kernel, 4), strict=True))
+        self.lock, base = free_run(self.loop.kernel, 4)
+        names = {"list": base, "desk": base + 1, "door": base + 2, "peers": base + 3}
         self.door = ("127.0.0.1", names["door"])
         self.sheet = read_sheet("test.star", SHEET % {**names, "more": more, "by": by})
         self.rows, self.revision, self.seen, self.got = [], 0, [0] * len(scripts), []
@@ -115,6 +108,7 @@
             return self.loop.run(self.loop.spawn(all_of_it(), "test"))
         finally:
             self.loop.close()
+            self.lock.close()
             assert not self.deaths, self.deaths
             assert not self.loop.tasks, self.loop.tasks
 
