One way to follow a stream; the desk says its orders again with each news period

Need: list, news and orders each had a copy of the same loop, and the agent's had no bound on silence. Change: calls.follow with a bound on silence; orders are repeated, so that a half-open stream is noticed; whatever a fetch dies of shows as a failed build.

--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -8,7 +8,7 @@
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, read_manifest
 from cobaltpond.builds.store import Full, Rotten, Store
-from cobaltpond.calls import FAILED, LineStream, Waits, call
+from cobaltpond.calls import FAILED, Waits, call, follow
 from cobaltpond.keep import Journal
 from cobaltpond.loop import Deadline, Refused, Sleep, TimedOut, Unreachable, run_part
 from cobaltpond.loop.chance import seeded
@@ -115,19 +115,17 @@
     # --- orders and reports --------------------------------------------------------------------------------------
 
     def follow(self):
-        while True:
-            stream = LineStream(self.loop, split_address(self.sheet.desk.address))
-            try:
-                yield from stream.open(f"/v1/orders?place={self.host.place}", CALL_TIME)
-                while (told := (yield from stream.next())) is not None:
-                    self.waits.reset()
-                    for one in told:
-                        self.order(one["order"])
-            except (*FAILED, TimedOut, KeyError, ValueError) as trouble:
-                self.log.warning("desk out of reach", why=f"{type(trouble).__name__}: {trouble}")
-            finally:
-                stream.close()
-            yield Sleep(self.waits.next())
+        """The desk's orders, for ever; it says them again with each period of its news."""
+        def take(told):
+            for one in told:
+                self.order(one["order"])
+
+        def broken(trouble):
+            self.log.warning("desk out of reach", why=f"{type(trouble).__name__}: {trouble}")
+
+        yield from follow(self.loop, split_address(self.sheet.desk.address),
+                          lambda: f"/v1/orders?place={self.host.place}", take, 3 * self.sheet.release.news_period,
+                          CALL_TIME, self.waits, broken, (KeyError, TypeError, ValueError))
 
     def order(self, order):
         wishes = {int(build): wish for build, wish in order["wishes"].items()}
@@ -206,7 +204,9 @@
             self.manifests[build] = manifest, signed
             if build not in self.store.builds():
                 yield from self.fetcher.fetch(manifest)
-        except (FetchFailed, Unfit, Full) as trouble:
+        except Exception as trouble:                   # whatever it is, the build is not here, and that must show
+            if not isinstance(trouble, (FetchFailed, Unfit, Full)):
+                self.log.error("fetch failed", build=build, exc_info=True)
             self.event(build, "unfetched", f"{type(trouble).__name__}: {trouble}")
             return
         self.event(build, "fetched")
--- a/cobaltpond/calls/client.py
+++ b/cobaltpond/calls/client.py
@@ -1,6 +1,6 @@
 """Short calls and long streams to the list and the desk, over HTTP/1.1 with JSON lines."""
 from cobaltpond.decisions.records import Chance
-from cobaltpond.loop import HandlesUsedUp, PeerLost, Refused, Unreachable, dial
+from cobaltpond.loop import Deadline, HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
 from cobaltpond.wire import http1
 from cobaltpond.wire.lines import BadLine, Lines
 
@@ -76,3 +76,25 @@
         if self.connection is not None:
             self.connection.close()
 
+
+def follow(loop, address, target, take, silence: int, dial_time: int, waits: Waits, broken, also=()):
+    """A stream of JSON lines, taken up again for ever. `target()` is asked at each try; `take(objects)` gets what
+    comes; `broken(trouble)` hears of what FAILED names, TimedOut and `also`, which `take` may raise. Silence of
+    `silence` microseconds counts as a broken stream: guards against a peer that is gone without a word."""
+    while True:
+        stream = LineStream(loop, address)
+        try:
+            with Deadline(loop, silence):
+                yield from stream.open(target(), dial_time)
+            while True:
+                with Deadline(loop, silence):
+                    told = yield from stream.next()
+                if told is None:
+                    break
+                waits.reset()
+                take(told)
+        except (*FAILED, TimedOut, *also) as trouble:
+            broken(trouble)
+        finally:
+            stream.close()
+        yield Sleep(waits.next())
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -78,7 +78,7 @@
         self.sent.pop(place, None)
         return stream
 
-    def send_orders(self):
+    def send_orders(self, again=False):
         """To each host its present wishes, when they have changed and when it has come back."""
         stages = self.stages
         keep = {b for b in (stages.stable, stages.build, *stages.offered) if b}
@@ -87,7 +87,7 @@
             if order["wishes"] != self.sent.get(place, {}).get("wishes") and place in self.sent:
                 self.hosts.hosts[place].generation = max(order["generation"], self.sent[place]["generation"] + 1)
                 order = self.hosts.order(place, keep)
-            if self.sent.get(place) != order:
+            if again or self.sent.get(place) != order:
                 self.sent[place] = order
                 for stream in [s for s in streams if not s.over]:
                     stream.put({"order": order})
@@ -182,6 +182,8 @@
         if mark != self.last or now - self.told_at >= self.sheet.release.news_period:
             self.last, self.told_at = mark, now
             self.tell_all({"news": state})
+            if self.hosts:
+                self.send_orders(again=True)
 
     def carry(self, order):
         what, *rest = order
--- a/cobaltpond/gateway/follow.py
+++ b/cobaltpond/gateway/follow.py
@@ -9,7 +9,7 @@
 import zlib
 from urllib.parse import urlencode
 
-from cobaltpond.calls import FAILED, LineStream, Waits, call
+from cobaltpond.calls import FAILED, Waits, call, follow
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.sheet.parts import split_address
 from cobaltpond.wire.lines import BadLine, Lines
@@ -122,32 +122,24 @@
         return "/v1/list?" + urlencode(asked)
 
     def push(self):
-        """The pushed stream, for ever; silence beyond the sheet's bound counts as a broken one."""
-        whole = False
-        while True:
-            stream = LineStream(self.loop, self.address)
-            try:
-                with Deadline(self.loop, self.sheet.listing.silence):
-                    yield from stream.open(self.query(whole, True), self.sheet.instances.dial_time)
-                whole = False
-                while True:
-                    with Deadline(self.loop, self.sheet.listing.silence):
-                        told = yield from stream.next()
-                    if told is None:
-                        break
-                    self.waits.reset()
-                    for one in told:
-                        self.take(one)
-            except Gap as trouble:
-                whole = True
-                self.counts["gaps"] += 1
-                self.log.warning("list gap", why=str(trouble))
-            except (*FAILED, TimedOut) as trouble:
-                self.counts["errors"] += 1
-                self.log.warning("list broken", why=f"{type(trouble).__name__}: {trouble}")
-            finally:
-                stream.close()
-            yield Sleep(self.waits.next())
+        """The pushed stream, for ever."""
+        whole = [False]
+
+        def target():
+            asked, whole[0] = self.query(whole[0], True), False
+            return asked
+
+        def take(told):
+            for one in told:
+                self.take(one)
+
+        def broken(trouble):
+            whole[0] = isinstance(trouble, Gap)
+            self.counts["gaps" if whole[0] else "errors"] += 1
+            self.log.warning("list gap" if whole[0] else "list broken", why=f"{type(trouble).__name__}: {trouble}")
+
+        yield from follow(self.loop, self.address, target, take, self.sheet.listing.silence,
+                          self.sheet.instances.dial_time, self.waits, broken, (Gap,))
 
     def ask(self, whole: bool):
         """One call: what has changed since, or all. The decisions hear of it either way."""
--- a/cobaltpond/gateway/news.py
+++ b/cobaltpond/gateway/news.py
@@ -1,8 +1,8 @@
 """The release desk as the gateway hears it: news, tallies, wrong answers; and the votes it sends there."""
 import json
 
-from cobaltpond.calls import FAILED, NOT_SENT, LineStream, Waits, call
-from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
+from cobaltpond.loop import Deadline, TimedOut
 from cobaltpond.sheet.parts import split_address
 
 PHASES = ("trial", "going back", "released", "withdrawn")
@@ -48,26 +48,16 @@
 
     def follow(self):
         """The stream of news, for ever."""
-        silence = 3 * self.sheet.release.news_period
-        while True:
-            stream = LineStream(self.loop, self.address)
-            try:
-                with Deadline(self.loop, silence):
-                    yield from stream.open(f"/v1/news?gateway={self.host.number}", self.sheet.instances.dial_time)
-                while True:
-                    with Deadline(self.loop, silence):
-                        told = yield from stream.next()
-                    if told is None:
-                        break
-                    self.waits.reset()
-                    for one in told:
-                        self.take(one)
-            except (*FAILED, TimedOut) as trouble:
-                self.counts["errors"] += 1
-                self.log.warning("desk stream broken", why=f"{type(trouble).__name__}: {trouble}")
-            finally:
-                stream.close()
-            yield Sleep(self.waits.next())
+        def take(told):
+            for one in told:
+                self.take(one)
+
+        def broken(trouble):
+            self.counts["errors"] += 1
+            self.log.warning("desk stream broken", why=f"{type(trouble).__name__}: {trouble}")
+
+        yield from follow(self.loop, self.address, lambda: f"/v1/news?gateway={self.host.number}", take,
+                          3 * self.sheet.release.news_period, self.sheet.instances.dial_time, self.waits, broken)
 
     def vote(self, build, stage, verdict):
         """One vote and exactly one answer: ok, moot, full, error (it did not count), timeout (it may count)."""
