Operators send builds back, read the history and watch a release

Need: release offer, status, back and history, with progress in a terminal and as JSON. Change: calls of the desk (kept over its end) and commands.

--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -7,7 +7,8 @@
 import click
 import structlog
 
-from cobaltpond.loop import Deadline, EpollKernel, Loop, TimedOut, run_part
+from cobaltpond.loop import Deadline, EpollKernel, Loop, Sleep, TimedOut, run_part
+from cobaltpond.loop.clock import utc
 from cobaltpond.sheet import BadSheet, read_sheet
 from cobaltpond.sheet.parts import split_address
 
@@ -130,6 +131,60 @@
     click.echo(json.dumps(ask(file, "GET", "/v1/status"), indent=2))
 
 
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.argument("build", type=int)
+@click.option("--why", default="", help="Kept in the history.")
+def back(file, build, why):
+    """Sends a build back, on trial or released: the earlier one takes its place."""
+    click.echo(json.dumps(ask(file, "POST", "/v1/back", {"build": build, "why": why})["news"]))
+
+
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--as-json", is_flag=True)
+def history(file, as_json):
+    """What became of the last builds, and why."""
+    rows = ask(file, "GET", "/v1/history")["history"]
+    for row in rows:
+        click.echo(json.dumps(row) if as_json else
+                   f"{utc(row['at'])}  build {row['build']} stage {row['stage']}: {row['phase']} ({row['why']})")
+
+
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--as-json", is_flag=True, help="One JSON object at each change.")
+@click.option("--seconds", type=int, default=600, help="Give up watching after so long.")
+def watch(file, as_json, seconds):
+    """Follows the newest build until it is released or withdrawn. Exit code 0 only if it was released."""
+    loop, last, news = Loop(EpollKernel()), None, {}
+
+    def pause():
+        yield Sleep(300_000)
+    end = loop.kernel.now() + seconds * 1_000_000
+    while loop.kernel.now() < end:
+        state = ask(file, "GET", "/v1/status")
+        news = state["news"]
+        up = sum(m["build"] == news["build"] and m["state"] == "up" for m in state["machines"])
+        shown = {"build": news["build"], "stage": news["stage"], "phase": news["phase"], "cap": round(news["cap"], 3),
+                 "up": up, "places": len({m["place"] for m in state["machines"]}), "votes": state["votes"],
+                 "missing": state["missing"]}
+        if shown != last:
+            last = shown
+            if as_json:
+                click.echo(json.dumps(shown))
+            else:
+                bar = "#" * up + "." * (shown["places"] - up)
+                click.echo(f"build {news['build']} stage {news['stage']} {news['phase']:<11} [{bar}] "
+                           f"cap {news['cap']:.2f}  votes {state['votes']}")
+                for place, build, why in state["missing"]:
+                    click.echo(f"    {place}: build {build}: {why}")
+        if news["phase"] in ("released", "withdrawn") and not state["offered"]:
+            break
+        loop.run(loop.spawn(pause(), "pause"))
+    sys.exit(0 if news.get("phase") == "released" else 1)
+
+
 @main.command()
 @click.argument("script", required=False, type=click.Path(exists=True, dir_okay=False))
 @click.option("--from", "bench", type=click.Path(exists=True, dir_okay=False), help="A day file of the bench.")
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -19,7 +19,7 @@
         self.loop, self.sheet, self.log, self.record = loop, sheet, log, record
         self.platform = split_address(sheet.desk.platform) if sheet.desk.platform else None
         self.hosts, self.epoch = None, loop.kernel.wall() // 1_000_000
-        self.order_streams, self.sent = {}, {}
+        self.order_streams, self.sent, self.history = {}, {}, []
         self.stages, self.streams, self.last, self.told_at = None, {}, None, 0
         self.stop_asked, self.kept, self.journal = False, None, None
         if sheet.desk.journal:
@@ -117,6 +117,7 @@
         if kept is not None:
             self.stages.load(kept, self.loop.now())
             self.epoch = max(self.epoch, kept.get("epoch", 0) + 1)
+            self.history = kept.get("history", [])
             self.log.info("carried on", build=self.stages.build, stage=self.stages.stage, phase=self.stages.phase)
         self.keep()
 
@@ -125,7 +126,7 @@
         the desk: guards against telling what a restart would forget."""
         if self.journal is None:
             return
-        state = {**self.stages.dump(), "epoch": self.epoch}
+        state = {**self.stages.dump(), "epoch": self.epoch, "history": self.history}
         mark = {name: value for name, value in state.items() if name not in ("at", "held")}
         if mark != self.kept:
             if self.journal.long:
@@ -175,6 +176,8 @@
         while stages.story:
             at, build, stage, phase, why = stages.story.pop(0)
             self.log.info("release", build=build, stage=stage, phase=phase, why=why)
+            self.history = [*self.history[-99:], {"at": self.loop.kernel.wall() // 1000, "build": build,
+                                                  "stage": stage, "phase": phase, "why": why}]
             if self.record:
                 self.record("phase", build=build, stage=stage, phase=phase, why=why, at=at)
         state = stages.news(now)
@@ -222,6 +225,10 @@
             return self.follow_orders(request)
         if self.hosts and route == ("POST", "/v1/reports"):
             return self.report(request.json())
+        if route == ("POST", "/v1/back"):
+            return self.back(request.json())
+        if route == ("GET", "/v1/history"):
+            return json_answer(200, {"history": self.history})
         if route == ("GET", "/v1/status"):
             return json_answer(200, self.status())
         raise Refusal(404, "no such call")
@@ -276,6 +283,17 @@
         self.keep()
         return json_answer(202, self.status())
 
+    def back(self, body):
+        """An operator sends a build back; the number guards against meaning another one than is out."""
+        if body.get("build") != self.stages.build:
+            raise Refusal(409, f"the newest build is {self.stages.build}, not {body.get('build')}")
+        try:
+            self.stages.send_back(self.loop.now(), str(body.get("why") or "sent back by an operator")[:200])
+        except Refused as no:
+            raise Refusal(409, str(no)) from None
+        self.keep()
+        return json_answer(202, self.status())
+
     def status(self):
         now, stages = self.loop.now(), self.stages
         missing = [f"{what} {' '.join(map(str, rest))}" for what, *rest in stages.ordered]
--- a/cobaltpond/desk/stages.py
+++ b/cobaltpond/desk/stages.py
@@ -153,6 +153,15 @@
             self.move(now, GOING_BACK, self.stage, f"build {build} is due")
         self.tick(now)
 
+    def send_back(self, now: int, why: str) -> None:
+        """An operator's word: as good as all votes there are. Raises Refused."""
+        if self.phase not in (TRIAL, RELEASED):
+            raise Refused(f"build {self.build} is {self.phase}")
+        if self.stable is None:
+            raise Refused(f"there is no build before {self.build} to go back to")
+        self.move(now, GOING_BACK, self.stage, why)
+        self.tick(now)
+
     def machine(self, now: int, id: str, place: str, build: int, state: str) -> None:
         """What the platform says of an instance; state gone takes it out."""
         if state == "gone":
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -82,6 +82,20 @@
     assert fleet.builds() == [(p, 1) for p in fleet.stages.places] and len(fleet.stages.machines) == 4
 
 
+def test_an_operators_word_sends_a_build_back_where_that_makes_sense():
+    fleet = Fleet()
+    with pytest.raises(Refused, match="no build before 1"):
+        fleet.stages.send_back(0, "try")
+    fleet.stages.offer(0, 2)
+    fleet.run(1)
+    fleet.stages.send_back(fleet.now, "looks odd")
+    fleet.run(4)
+    assert fleet.stages.phase == WITHDRAWN and fleet.builds() == [(p, 1) for p in fleet.stages.places]
+    with pytest.raises(Refused, match="withdrawn"):
+        fleet.stages.send_back(fleet.now, "again")
+    assert (2, "going back", "looks odd") in [(b, phase, why) for _, b, _, phase, why in fleet.stages.story]
+
+
 def test_a_clock_stands_still_while_it_is_held():
     fleet = Fleet(gate="clock")
     fleet.stages.offer(fleet.now, 2)
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -58,6 +58,11 @@
         yield from town.insist("POST", "/v1/builds", {"build": number}, good=lambda s, a: s in (202, 409))
         yield from town.push(number)
         yield from town.until(lambda: town.exactly(number))
+        assert (yield from town.ask("POST", "/v1/back", {"build": number - 1}))[0] == 409
+        yield from town.insist("POST", "/v1/back", {"build": number, "why": "a word"})
+        yield from town.until(lambda: town.exactly(1))
+        history = yield from town.insist("GET", "/v1/history")
+        assert [number, "going back", "a word"] in [[h["build"], h["phase"], h["why"]] for h in history["history"]]
         return seen
     seen = run.go(go())
     assert not run.deaths
