--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -237,7 +237,8 @@
                 break
         process = Process(build, f"{self.loop.kernel.seed():016x}", self.host.ports + self.port)
         self.note({"begun": {"build": build, "mark": process.mark, "port": process.port}})
-        words = [w.replace("{port}", str(process.port)) for w in manifest.entry]
+        told = {"{port}": str(process.port), "{id}": self.name_of(process), "{mark}": process.mark}
+        words = [told.get(word, word) for word in manifest.entry]
         argv = [os.path.join(self.store.tree(build), words[0]), *words[1:]]
         try:
             process.child = self.loop.kernel.spawn(argv, self.path(f"output-{build}"), process.mark)
@@ -315,9 +316,13 @@
 
     # --- the list ------------------------------------------------------------------------------------------------
 
+    def name_of(self, process):
+        """The id under which the list shows it."""
+        return f"{self.host.place}.{process.port - self.host.ports}"
+
     def id_of(self, build):
         process = self.processes.get(build)
-        return f"{self.host.place}.{process.port - self.host.ports}" if process else ""
+        return self.name_of(process) if process else ""
 
     def do_list_up(self, build):
         self.leave(build, "drained")
@@ -334,7 +339,7 @@
         if state == "gone" and process.listed is None:
             return
         process.listed = state
-        row = {"id": f"{self.host.place}.{process.port - self.host.ports}", "zone": self.host.zone,
+        row = {"id": self.name_of(process), "zone": self.host.zone,
                "cell": self.host.cell, "address": f"{self.host.address}:{process.port}", "build": build,
                "state": state, "start": process.mark, "age_us": self.loop.now() - process.began}
 
--- a/cobaltpond/audit/check.py
+++ b/cobaltpond/audit/check.py
@@ -194,13 +194,14 @@
         if e["kind"] == "arrive":
             work[e["instance"], e["start"]].append(e)
         if e["kind"] == "fell":
-            found.check(rule, False, f"{e['instance']} fell over {e['at'] - e['start']} us after its start")
+            found.check(rule, False, f"{e['instance']} fell over at {e['at']}")
     for name, up in ups.items():
-        rows = [e for e in work[name] if e["at"] - up["start"] < up["cold_time"]]
+        began = up.get("began", up["start"])
+        rows = [e for e in work[name] if e["at"] - began < up["cold_time"]]
         worst = 0.0
         for n, last in enumerate(rows):
             window = [e["work"] for e in rows[:n + 1] if e["at"] > last["at"] - tip]
-            age = last["at"] - up["start"]
+            age = last["at"] - began
             warmth = up["cold_share"] + (1 - up["cold_share"]) * min(1.0, age / up["cold_time"])
             bearable = factor * up["cores"] * up["speed"] * warmth * min(tip, max(1, age))
             worst = max(worst, (sum(window) - 2 * max(window)) / bearable)
--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -238,6 +238,25 @@
     run_yard(EpollKernel(), json.load(plan), records, logger("yard"))
 
 
+@standin.command()
+@click.argument("plan", type=click.File())
+@click.argument("port", type=int)
+def builds(plan, port):
+    from cobaltpond.standins.solo import run_builds
+    run_builds(EpollKernel(), json.load(plan), port, logger("builds"))
+
+
+@standin.command()
+@click.argument("plan", type=click.File())
+@click.argument("build", type=int)
+@click.argument("port", type=int)
+@click.argument("name")
+@click.argument("mark")
+def solo(plan, build, port, name, mark):
+    from cobaltpond.standins.solo import run_solo
+    run_solo(EpollKernel(), json.load(plan), build, port, name, mark, logger(f"solo-{name}"))
+
+
 @standin.command()
 @click.argument("plan", type=click.File())
 @click.argument("records", type=click.Path())
--- a/cobaltpond/day/run.py
+++ b/cobaltpond/day/run.py
@@ -41,14 +41,15 @@
 
     def ports(self):
         """A run of free ports, held while the day lasts."""
-        need = 8 * len(self.plan["places"]) + 2 * len(self.plan["gateways"]) + len(self.plan["zone_names"]) + 8
+        need = 8 * len(self.plan["places"]) + 2 * len(self.plan["gateways"]) + len(self.plan["zone_names"]) + 9
         try:
             self.lock, base = free_run(self.loop.kernel, need)
         except Unreachable as trouble:
             raise DayFailed(str(trouble)) from None
         names = iter(range(base + 8 * len(self.plan["places"]), base + need))
         ports = {"machines": base, "list": next(names), "platform": next(names), "troubles": next(names),
-                 "desk": next(names), "relays": {zone: next(names) for zone in self.plan["zone_names"]}}
+                 "desk": next(names), "builds": next(names),
+                 "relays": {zone: next(names) for zone in self.plan["zone_names"]}}
         ports["doors"] = next(names)
         ports["peers"] = ports["doors"] + len(self.plan["gateways"])
         return ports
@@ -109,11 +110,14 @@
             for child in self.children.values():
                 child.signal("CONT")
                 child.signal("KILL")
+            self.end_instances()
         return self.result(begin)
 
     def start(self, ports):
         plan = self.plan
         zones = {n: g["zone"] for n, g in enumerate(plan["gateways"])}
+        if plan.get("agents"):
+            self.write_builds()
         yard = {**{k: plan[k] for k in ("seed", "places", "kind", "build", "boot", "list", "report", "flaws",
                                         "home", "zone_names")},
                 "zones": [zones[n] for n in sorted(zones)], "ports": ports["machines"], "services": ports,
@@ -126,18 +130,46 @@
             self.write(f"sheet-{zone}.star", sheet_text(plan, zone, ports, self.folder))
         self.sheet_path = self.write("sheet-desk.star", sheet_text(plan, "", ports, self.folder))
         self.sheet = read_sheet(self.sheet_path, sheet_text(plan, "", ports, self.folder))
+        if plan.get("agents"):
+            yard["places"] = []
+            self.spawn("builds", "standin", "builds", self.path("builds.json"), str(ports["builds"]))
         self.spawn("yard", "standin", "yard", self.write("yard.json", yard), self.path("yard.records"))
         yield from self.until("the yard", lambda: self.get(ports["platform"], "GET", "/v1/machines"),
-                              lambda b: len(b["machines"]) == len(plan["places"]))
+                              lambda b: len(b["machines"]) == len(yard["places"]))
         # its list starts whole: instances that ran before the day
         yield from self.get(ports["troubles"], "POST", "/v1/trouble", {"kind": "list_begins", "begins": True})
         self.spawn("desk", "desk", self.sheet_path)
+        if plan.get("agents"):
+            yield from self.start_agents(ports)
         yield from self.until("the desk", lambda: self.get(ports["desk"], "GET", "/v1/status"), lambda b: True)
         for number in range(len(plan["gateways"])):
             self.start_gateway(number)
         for number in range(len(plan["gateways"])):
             yield from self.gateway_ready(number)
 
+    def write_builds(self):
+        """Every build of the plan as a tree that starts a stand-in instance, signed by the day's own key."""
+        plan = self.plan
+        solo = {**{k: plan[k] for k in ("seed", "kind", "report", "flaws")}, "folder": self.folder,
+                "places": {p["name"]: p for p in plan["places"]},
+                "groups": {g["name"]: {} for g in plan["groups"]},
+                "rules": {"factor": plan["rules"]["overload_factor"], "tip_time": plan["rules"]["tip_time"]}}
+        self.write("solo.json", solo)
+        self.write("builds.json", {"python": sys.executable, "solo": self.path("solo.json"),
+                                   "keys": self.path("keys.json"),
+                                   "builds": [plan["build"], *(o["build"] for o in plan["offers"])]})
+
+    def start_agents(self, ports):
+        """All places up with the first build, and warm, before the day begins."""
+        plan = self.plan
+        yield from self.until("the desk", lambda: self.get(ports["desk"], "GET", "/v1/status"), lambda b: True)
+        for place in plan["places"]:
+            self.spawn(f"agent-{place['name']}", "agent", self.sheet_path, "--place", place["name"])
+        yield from self.get(ports["desk"], "POST", "/v1/builds", {"build": plan["build"]})
+        yield from self.until("the fleet", lambda: self.get(ports["desk"], "GET", "/v1/status"),
+                              lambda b: sum(m["state"] == "up" for m in b["machines"]) == len(plan["places"]))
+        yield Sleep(plan["kind"]["cold_time"])
+
     def start_crowds(self, ports, begin):
         plan, crowds = self.plan, []
         for n in range(plan["crowds"]):
@@ -160,7 +192,8 @@
                 raise DayFailed("the clients did not end")
             for name, child in self.children.items():
                 if child.ended() not in (None, 0) and not any(
-                        a["kind"] == "killed" and f"gateway-{a['gateway']}" == name for a in self.acts):
+                        a["kind"] == "killed" and name in (a.get("part"), f"gateway-{a.get('gateway')}")
+                        for a in self.acts):
                     raise DayFailed(f"{name} has ended with {child.ended()}: see {self.path(name + '.log')}")
             yield Sleep(50_000)
 
@@ -207,6 +240,9 @@
     def kill(self, begin, kill):
         number = kill["gateway"]
         yield from self.wait(begin + kill["at"])
+        if kill.get("what", "gateway") != "gateway":
+            yield from self.kill_other(kill)
+            return
         self.say(f"{kill['at'] / 1e6:5.1f} s  gateway {number} killed")
         self.act("killed", gateway=number)
         self.gateways[number].signal("KILL")
@@ -218,6 +254,24 @@
         """Told to stop: the day ends where it is, without a verdict."""
         self.loop.stop()
 
+    def kill_other(self, kill):
+        what, place = kill["what"], self.plan["places"][kill["gateway"] % len(self.plan["places"])]["name"]
+        if what == "instance":
+            for pid, words in self.loop.kernel.command_lines():
+                if any(word.startswith(f"{place}.") for word in words) and self.path("solo.json") in words:
+                    self.say(f"{kill['at'] / 1e6:5.1f} s  an instance of {place} killed")
+                    self.loop.kernel.kill(pid)
+                    break
+            return
+        name = "desk" if what == "desk" else f"agent-{place}"
+        self.say(f"{kill['at'] / 1e6:5.1f} s  {name} killed")
+        self.act("killed", part=name)
+        self.children[name].signal("KILL")
+        yield Sleep(kill["back_after"])
+        self.say(f"{(kill['at'] + kill['back_after']) / 1e6:5.1f} s  {name} started again")
+        words = ["desk", self.sheet_path] if what == "desk" else ["agent", self.sheet_path, "--place", place]
+        self.spawn(name, *words)
+
     def stop_all(self):
         """Gateways first, in order; each has to end by itself with 0."""
         for number, child in self.gateways.items():
@@ -228,6 +282,17 @@
         for name in ("desk", "yard"):
             self.children[name].signal("TERM")
         yield from self.ended(["desk", "yard"])
+        agents = [name for name in self.children if name.startswith("agent-")]
+        for name in agents:
+            self.children[name].signal("TERM")
+        yield from self.ended(agents)
+        self.end_instances()
+
+    def end_instances(self):
+        """Instances outlive their agents; the day's own are ended with it."""
+        for pid, words in self.loop.kernel.command_lines():
+            if self.path("solo.json") in words:
+                self.loop.kernel.kill(pid)
 
     def ended(self, names):
         end = self.loop.kernel.now() + READY
@@ -242,12 +307,16 @@
     # --- afterwards --------------------------------------------------------------------------------------------
 
     def records(self, name):
-        lines = (self.loop.kernel.read_file(self.path(name)) or b"").splitlines()
-        return [json.loads(line) for line in lines]
+        lines = (self.loop.kernel.read_file(self.path(name)) or b"").split(b"\n")
+        return [json.loads(line) for line in lines[:-1]]   # what is not ended was cut off by a kill
 
     def result(self, begin):
         crowd = [e for n in range(self.plan["crowds"]) for e in self.records(f"crowd-{n}.records")]
         yard = self.records("yard.records")
+        for name in self.loop.kernel.list_folder(self.folder):
+            if name.endswith(".solo"):
+                yard += self.records(name)
+        yard.sort(key=lambda e: e["at"])
         runsheet = {**self.sheet.runsheet(0), "rules": {
             "tip_time": self.sheet.rules.tip_time, "overload_factor": self.sheet.rules.overload_factor,
             "answer_slack": self.sheet.rules.answer_slack}}
--- a/cobaltpond/day/script.py
+++ b/cobaltpond/day/script.py
@@ -38,6 +38,11 @@
     error_rate: p.Share = 0.0
     boot: p.Span = 1_500_000
     cell: p.Count = 4
+    agents: bool = False
+
+    def wrong(self, sheet):
+        if self.agents and any(g.kind == "tagged" for g in sheet["path_group"]):
+            return "instances behind agents do not drop each other's repeats: no tagged path group"
 
 
 class Traffic(p.Part, kw_only=True):
@@ -99,7 +104,9 @@
 
 
 class Kill(p.Part, kw_only=True):
-    gateway: p.Many
+    """`what`: gateway (by its number); with agents also agent, instance (both by the number of the place), desk."""
+    gateway: p.Many = 0
+    what: Literal["gateway", "agent", "instance", "desk"] = "gateway"
     at: p.Span
     back_after: p.Span = 2_000_000
 
@@ -149,7 +156,9 @@
         "troubles": [{"name": f"{t.kind}-{n}", "kind": t.kind, "at": t.at, "len": t.length, "size": t.size,
                       "extra": t.extra, "on": t.on, "which": t.which, "how": t.how}
                      for n, t in enumerate(calls["trouble"])],
-        "kills": [{"gateway": k.gateway, "at": k.at, "back_after": k.back_after} for k in calls["kill"]],
+        "agents": fleet.agents,
+        "kills": [{"what": k.what, "gateway": k.gateway, "at": k.at, "back_after": k.back_after}
+                  for k in calls["kill"]],
         "goal": {"whole": 0.6, "worst_window": 0.1, "worst_group": 0.2, "worst_customer": 0.1},
     }
 
@@ -178,7 +187,14 @@
     lines.append(call("listing", {"address": f"127.0.0.1:{ports['list']}", "by": plan["list"]["by"],
                                   "ask_within": plan["list"]["ask_within"]}))
     desk = ports["relays"][zone] if zone else ports["desk"]
-    lines.append(call("desk", {"address": f"127.0.0.1:{desk}", "platform": f"127.0.0.1:{ports['platform']}"}))
+    lines.append(call("desk", {"address": f"127.0.0.1:{desk}", "platform": f"127.0.0.1:{ports['platform']}",
+                               "journal": f"{folder}/desk.journal"}))
+    if plan.get("agents"):
+        lines.append(call("builds", {"sources": [f"127.0.0.1:{ports['builds']}"], "keys": f"{folder}/keys.json",
+                                     "ready_time": 8_000_000, "stop_time": 1_000_000}))
+        lines += [call("host", {"place": place["name"], "zone": place["zone"], "cell": place["cell"],
+                                "folder": f"{folder}/{place['name']}", "ports": ports["machines"] + 8 * n})
+                  for n, place in enumerate(plan["places"])]
     for n, g in enumerate(plan["gateways"]):
         lines.append(call("gateway", {"number": n, "zone": g["zone"], "door": f"127.0.0.1:{ports['doors'] + n}",
                                       "peers": f"127.0.0.1:{ports['peers'] + n}",
--- a/cobaltpond/day/table.py
+++ b/cobaltpond/day/table.py
@@ -64,8 +64,9 @@
 def prices_of(result, asked, arrivals, served_by, wrong):
     plan, first = result["plan"], max(1, len(asked))
     zones = {str(n): g["zone"] for n, g in enumerate(plan["gateways"])}
-    places = {p["id"]: p["zone"] for p in plan["places"]}
-    crossed = sum(zones[e["gateway"]] != places[e["instance"].rpartition("-")[0]] for e in arrivals)
+    places = {name: p["zone"] for p in plan["places"] for name in (p["id"], p["name"])}
+    crossed = sum(zones[e["gateway"]] != places[e["instance"].rpartition("." if "." in e["instance"] else "-")[0]]
+                  for e in arrivals)
     whole = sum(e["benefit"] for e in asked.values()) or 1.0
     good = [(o["at"], o["build"]) for o in plan["offers"] if not plan["flaws"][str(o["build"])]["how"]]
     behind = sum(worth for (build, at), worth in served_by.items()
--- a/cobaltpond/desk/hosts.py
+++ b/cobaltpond/desk/hosts.py
@@ -6,6 +6,7 @@
 """
 from dataclasses import dataclass, field
 
+TRY_AGAIN = 10_000_000                                 # a failed build is ordered anew: no place stays empty for good
 SILENT = 2_000_000                                     # microseconds without a report
 STARTING = ("fetching", "checking", "starting", "resting")
 SHOWN = {"up": "up", "draining": "draining"}
@@ -17,6 +18,7 @@
     generation: int = 0
     wishes: dict = field(default_factory=dict)         # build -> run or gone
     heard_at: int | None = None
+    tried_at: int = 0                                  # when a failed build was last ordered again
     done: int = 0                                      # the last generation carried out
     slots: dict = field(default_factory=dict)          # build -> (state, id, why)
 
@@ -49,8 +51,9 @@
             else:
                 place, _, number = rest[0].rpartition("/")
                 host, build, wish = self.hosts[place], int(number), "gone"
-            if host.wishes.get(build) != wish:
-                host.wishes[build] = wish
+            failed = wish == "run" and host.slots.get(build, ("",))[0] == "failed"
+            if host.wishes.get(build) != wish or failed and now - host.tried_at >= TRY_AGAIN:
+                host.wishes[build], host.tried_at = wish, now
                 host.generation += 1
                 changed.append(host.place)
         return changed
--- a/cobaltpond/standins/listing.py
+++ b/cobaltpond/standins/listing.py
@@ -3,7 +3,7 @@
 Each gateway hears of a change after its own lateness (`notice` plus `added`); within that, changes keep their
 order, and none is left out. `cut(number)` says whether a gateway is out of reach.
 """
-from cobaltpond.calls import Refusal, Stream
+from cobaltpond.calls import Refusal, Stream, json_answer
 from cobaltpond.loop import Sleep
 
 HISTORY = 200
@@ -56,6 +56,11 @@
         return [self.told(number, None, revision, list(whole.values()))]
 
     def handle(self, request):
+        if (request.method, request.path) == ("POST", "/v1/instances"):
+            row = request.json()                       # an agent says how one of its instances stands
+            shown = {k: v for k, v in row.items() if k != "age_us"}
+            self.change([{**shown, "up_at": self.loop.now() - row["age_us"]}])
+            return json_answer(200, {})
         if (request.method, request.path) != ("GET", "/v1/list"):
             raise Refusal(404, "no such call")
         number = int(request.query["gateway"])
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -166,6 +166,8 @@
     assert hosts.report(1, told("q", 1, False, b2="fetching")) == [("q/2", "q", 2, "starting")]
     assert hosts.report(1, told("q", 1, b2="failed")) == []
     assert hosts.missing(2) == [("q", 2, "failed: w")]
+    assert hosts.take_orders(9_000_000, [("start", "q", 2)]) == []
+    assert hosts.take_orders(11_000_000, [("start", "q", 2)]) == ["q"]    # tried again: it may have been the sources
     assert hosts.take_orders(2, [("start", "r", 2)]) == ["r"]
     assert ("r", 2, "the host is silent") in hosts.missing(2)
     assert hosts.take_orders(3, [("stop", "p/2"), ("drain", "q/2")]) == ["p", "q"]           # going never waits
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -13,7 +13,8 @@
 
 SCRIPT = """
 day(length = s(%(length)d), rate = %(rate)s, seed = 3)
-fleet(instances = 6, zones = ["north", "south"], boot = ms(600), cold_time = s(3), cores = %(cores)d)
+fleet(instances = 6, zones = ["north", "south"], boot = ms(600), cold_time = s(3), cores = %(cores)d,
+      agents = %(agents)s)
 registry(notice = ms(200), spread = ms(100), add = ms(100), silent = s(3))
 path_group(name = "look", kind = "repeatable", target_latency = ms(800), client_timeout = ms(2000))
 path_group(name = "pay", kind = "mutating", target_latency = ms(800), client_timeout = ms(2000), benefit = 2.0)
@@ -50,9 +51,9 @@
         loop.close()
 
 
-def day(layout="beside", length=7, rate=40.0, more="", cores=2):
+def day(layout="beside", length=7, rate=40.0, more="", cores=2, agents=False):
     return read_day("test.star", SCRIPT % {"layout": layout, "length": length, "rate": rate, "more": more,
-                                           "cores": cores})
+                                           "cores": cores, "agents": agents})
 
 
 def broken_day(rule):
@@ -72,6 +73,10 @@
     days["sound"] = day(more='kill(gateway = 1, at = s(3), back_after = s(1))\n'
                         'trouble(kind = "balancer_stall", which = 0, at = s(5), length = ms(400))')
     days["sound, in place"] = day("in place", more='trouble(kind = "vanish", at = s(4), length = s(2), on = [5])')
+    days["sound, with agents"] = day(length=8, agents=True, more="""
+kill(what = "agent", gateway = 0, at = ms(1700), back_after = s(1))
+kill(what = "desk", at = s(3), back_after = ms(500))
+kill(what = "instance", gateway = 3, at = s(4))""")
     return play(days, tmp_path_factory.mktemp("days"), extra)
 
 
@@ -81,7 +86,7 @@
     assert broken[rule], (rule, {r: len(b) for r, b in broken.items()})
 
 
-@pytest.mark.parametrize("name", ["sound", "sound, in place"])
+@pytest.mark.parametrize("name", ["sound", "sound, in place", "sound, with agents"])
 def test_a_sound_gateway_keeps_all_rules(results, name):
     found = results[name]["found"]
     assert found.kept, found.broken
