--- a/cobaltpond/standins/town.py
+++ b/cobaltpond/standins/town.py
@@ -188,7 +188,7 @@
 
     def exactly(self, build):
         """Is this build, and nothing else, running and listed in every place?"""
-        whole = [(place, build) for place in self.places]
+        whole = sorted((place, build) for place in self.places)
         return self.running() == whole and self.up() == whole
 
     def close(self):
