--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
-from cobaltpond.agent.states import STARTING, UP, Place, Slot
+from cobaltpond.agent.states import STARTING, Place, Slot
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, read_manifest
 from cobaltpond.builds.store import Full, Rotten, Store
 from cobaltpond.calls import FAILED, Waits, call, follow
 from cobaltpond.keep import Journal
-from cobaltpond.loop import Deadline, Refused, Sleep, TimedOut, Unreachable, run_part
+from cobaltpond.loop import Deadline, Sleep, TimedOut, Unreachable, run_part
 from cobaltpond.loop.chance import seeded
 from cobaltpond.sheet.parts import split_address
 
@@ -41,7 +41,7 @@
         self.fetcher = Fetcher(loop, self.store, [split_address(s) for s in builds.sources],
                                seeded(kernel.seed()).randrange, builds.rate)
         self.place, self.processes, self.tasks, self.manifests = Place(), {}, {}, {}
-        self.port, self.stop_asked, self.changed = 0, False, True
+        self.port, self.stop_asked = 0, False
         self.waits = Waits(50_000, 1_000_000, kernel.seed())
 
     def path(self, *names):
@@ -382,5 +382,3 @@
     """Until a signal to stop. Raises Refused where another agent has this folder."""
     run_part(kernel, lambda loop: Agent(loop, sheet, host, log), log, "agent")
 
-
-__all__ = ["Agent", "Refused", "UP", "run_agent"]
--- a/cobaltpond/desk/stages.py
+++ b/cobaltpond/desk/stages.py
@@ -54,7 +54,6 @@
     launched: int = 0
     clock: int | None = None                           # when the stage's clock began
     held: int = 0
-    changed: bool = True
     tokens: float | None = None
     tokens_at: int = 0
     story: list = field(default_factory=list)
@@ -85,7 +84,6 @@
         self.since, self.launched, self.now = kept["since"] + moved, kept["launched"] + moved, now
         self.clock = None if kept["clock"] is None else kept["clock"] + moved
         self.votes = {int(n): Vote(b, s, verdict, at + moved) for n, (b, s, verdict, at) in kept["votes"].items()}
-        self.changed = True
 
     # --- what is to run --------------------------------------------------------------------------------------
 
@@ -136,7 +134,7 @@
         """The one place where phase and stage change."""
         if phase not in NEXT[self.phase]:
             raise RuntimeError(f"a release cannot go from {self.phase} to {phase}")
-        self.phase, self.stage, self.since, self.changed = phase, stage, now, True
+        self.phase, self.stage, self.since = phase, stage, now
         self.launched, self.clock, self.held = now, None, 0
         self.story.append((now, self.build, stage, phase, why))
 
@@ -215,7 +213,6 @@
             up = all(self.running(place, self.build) for place in self.trial_places())
             if up or now - self.launched >= release.start_within:
                 self.clock = now + (release.settle if up else 0)
-                self.changed = True
         if self.clock is None or now < self.clock:
             return
         if release.gate == "clock":
