The desk keeps no record of its own that nobody asks for

Cause: the audit reads news where the relay lets it through; the desk's own record was never switched on. Change: taken out.

--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -13,10 +13,8 @@
 
 
 class Desk:
-    """`record(kind, **fields)`: what was told to whom, for the record; may be None."""
-
-    def __init__(self, loop, sheet, log, record=None):
-        self.loop, self.sheet, self.log, self.record = loop, sheet, log, record
+    def __init__(self, loop, sheet, log):
+        self.loop, self.sheet, self.log = loop, sheet, log
         self.platform = split_address(sheet.desk.platform) if sheet.desk.platform else None
         self.hosts, self.epoch = None, loop.kernel.wall() // 1_000_000
         self.order_streams, self.sent, self.history = {}, {}, []
@@ -174,12 +172,10 @@
             self.hosts.take_orders(now, orders)
             self.send_orders()
         while stages.story:
-            at, build, stage, phase, why = stages.story.pop(0)
+            _, build, stage, phase, why = stages.story.pop(0)
             self.log.info("release", build=build, stage=stage, phase=phase, why=why)
             self.history = [*self.history[-99:], {"at": self.loop.kernel.wall() // 1000, "build": build,
                                                   "stage": stage, "phase": phase, "why": why}]
-            if self.record:
-                self.record("phase", build=build, stage=stage, phase=phase, why=why, at=at)
         state = stages.news(now)
         mark = {k: v for k, v in state.items() if k != "age_us"}
         if mark != self.last or now - self.told_at >= self.sheet.release.news_period:
@@ -206,8 +202,6 @@
         for stream in list(self.streams.get(number, [])):
             if stream.over or not stream.put(one):
                 self.streams[number].remove(stream)
-            elif self.record and "news" in one:
-                self.record("news", gateway=number, **one["news"])
 
     # --- calls -----------------------------------------------------------------------------------------------
 
@@ -253,12 +247,7 @@
         now = self.loop.now()
         answer = self.stages.vote(now, number, body["build"], body["stage"], body.get("verdict"))
         self.keep()                                    # a vote that was answered is one that counts, also after a crash
-        if self.record:
-            self.record("vote", gateway=number, answer=answer, build=body["build"], stage=body["stage"],
-                        verdict=body.get("verdict"))
         news = self.stages.news(now)
-        if answer == "ok" and self.record:
-            self.record("news", gateway=number, **news)
         told = {"answer": answer, "news": news} if answer == "ok" else {"answer": answer}
         return json_answer({"ok": 200, "moot": 409, "full": 429}[answer], told)
 
@@ -306,6 +295,6 @@
                              for m in stages.machines.values()]}
 
 
-def run_desk(kernel, sheet, log, record=None) -> None:
+def run_desk(kernel, sheet, log) -> None:
     """Until a signal to stop."""
-    run_part(kernel, lambda loop: Desk(loop, sheet, log, record), log, "desk")
+    run_part(kernel, lambda loop: Desk(loop, sheet, log), log, "desk")
