Key rings by the desk; every kind of broken build under traffic; a disk that fills up

The desk keeps signed rings and hands the chain to hosts, each of which checks it. Found on the way: a build that was held could not be gone back to once its key was rotated out or its manifest's time had passed; held builds are no longer asked for either.

Ten places at which the disk fills up: nothing half done, and it goes on once there is room.

--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -1,4 +1,5 @@
 """The running agent of one host: follows the desk's orders, carries out what `states.py` says, reports."""
+import base64
 import json
 import os
 
@@ -6,7 +7,7 @@
 
 from cobaltpond.agent.states import STARTING, Place, Slot
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
-from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, read_manifest
+from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, held_manifest, read_manifest, rings_after
 from cobaltpond.builds.store import Full, Rotten, Store
 from cobaltpond.calls import FAILED, Waits, call, follow
 from cobaltpond.keep import Journal
@@ -37,7 +38,7 @@
         kernel.make_folder(host.folder)
         self.journal = Journal(kernel, self.path("journal"))
         self.store = Store(kernel, self.path("store"), builds.most)
-        self.ring = msgspec.json.decode(kernel.read_file(builds.keys) or b"{}", type=Ring)
+        self.ring = self.held_ring(builds.keys)
         self.fetcher = Fetcher(loop, self.store, [split_address(s) for s in builds.sources],
                                seeded(kernel.seed()).randrange, builds.rate)
         self.place, self.processes, self.tasks, self.manifests = Place(), {}, {}, {}
@@ -62,6 +63,29 @@
                 pruned = self.loop.now()
                 self.prune()
 
+    # --- keys ----------------------------------------------------------------------------------------------------
+
+    def held_ring(self, given: str) -> Ring:
+        """The ring that was taken last, or the sheet's where that is later."""
+        read, rings = self.loop.kernel.read_file, []
+        for data in (read(given), read(self.path("keys"))):
+            if data:
+                rings.append(msgspec.json.decode(data, type=Ring))
+        return max(rings, key=lambda ring: ring.version, default=Ring(0, []))
+
+    def take_rings(self, chain):
+        """The desk hands on what a key of the ring held here has signed; it cannot make one up."""
+        try:
+            ring, taken = rings_after(self.ring, [base64.b64decode(one) for one in chain],
+                                      self.loop.kernel.wall() // 1_000_000)
+        except Unfit as trouble:
+            self.log.error("key ring refused", why=f"{type(trouble).__name__}: {trouble}")
+            return
+        if taken:
+            self.loop.kernel.replace_file(self.path("keys"), msgspec.json.encode(ring))
+            self.ring = ring
+            self.log.info("key ring", version=ring.version, keys=[key.id for key in ring.keys])
+
     # --- over a restart ------------------------------------------------------------------------------------------
 
     def recover(self):
@@ -123,7 +147,10 @@
         """The desk's orders, for ever; it says them again with each period of its news."""
         def take(told):
             for one in told:
-                self.order(one["order"])
+                if "rings" in one:
+                    self.take_rings(one["rings"])
+                else:
+                    self.order(one["order"])
 
         def broken(trouble):
             self.log.warning("desk out of reach", why=f"{type(trouble).__name__}: {trouble}")
@@ -201,16 +228,16 @@
     def fetch(self, build):
         """What is here whole is not fetched again: a take-back needs no source."""
         try:
-            signed = self.store.manifest(build)
-            if signed is None:
+            if build in self.store.builds():
+                self.remember(build)
+            else:
                 signed = yield from self.fetcher.manifest(build, MOST_BYTES)
-            now = self.loop.kernel.wall() // 1_000_000
-            manifest = read_manifest(signed, self.ring, now, ordered=build, most_size=self.sheet.builds.most)
-            self.manifests[build] = manifest, signed
-            if build not in self.store.builds():
+                now = self.loop.kernel.wall() // 1_000_000
+                manifest = read_manifest(signed, self.ring, now, ordered=build, most_size=self.sheet.builds.most)
+                self.manifests[build] = manifest, signed
                 yield from self.fetcher.fetch(manifest)
         except Exception as trouble:                   # whatever it is, the build is not here, and that must show
-            if not isinstance(trouble, (FetchFailed, Unfit, Full)):
+            if not isinstance(trouble, FetchFailed | Unfit | Full):
                 self.log.error("fetch failed", build=build, exc_info=True)
             self.event(build, "unfetched", f"{type(trouble).__name__}: {trouble}")
             return
@@ -257,8 +284,7 @@
 
     def remember(self, build):
         signed = self.store.manifest(build)
-        now = self.loop.kernel.wall() // 1_000_000
-        self.manifests[build] = read_manifest(signed, self.ring, now, ordered=build), signed
+        self.manifests[build] = held_manifest(signed), signed
         return self.manifests[build]
 
     def do_probe(self, build):
--- a/cobaltpond/builds/manifest.py
+++ b/cobaltpond/builds/manifest.py
@@ -223,6 +223,19 @@
     return manifest
 
 
+def held_manifest(data: bytes) -> Manifest:
+    """One that was checked when it came and has been in the store since: neither keys nor times are asked again.
+    Guards against an earlier build that nobody can go back to, because its key was rotated out, or its time passed,
+    while it ran. What its tree holds is still checked. Raises Malformed, Truncated or Oversized."""
+    _, body, _ = opened(MAGIC, data, MOST_BYTES)
+    try:
+        manifest = msgspec.json.decode(body, type=Manifest)
+    except msgspec.DecodeError as trouble:
+        raise Malformed(str(trouble)) from None
+    coherent(manifest)
+    return manifest
+
+
 def write_manifest(manifest: Manifest, signers: dict[str, Ed25519PrivateKey]) -> bytes:
     return seal(MAGIC, msgspec.json.encode(manifest), signers)
 
@@ -230,18 +243,32 @@
 def next_ring(held: Ring, data: bytes, now: int) -> Ring:
     """The ring that takes the place of the held one. Raises a subclass of Unfit."""
     signed, body, signatures = opened(RING_MAGIC, data, 1 << 16)
-    held.check(now, signed, signatures)
     try:
         ring = msgspec.json.decode(body, type=Ring)
     except msgspec.DecodeError as trouble:
         raise Malformed(str(trouble)) from None
-    if ring.version <= held.version:
+    if ring.version <= held.version:                   # first: whoever signed an old one may be out of the ring by now
         raise Downgraded(f"key ring {ring.version}, {held.version} is held")
+    held.check(now, signed, signatures)
     if not any(key.since <= now < key.until for key in ring.keys):
         raise KeyOutOfTime("a ring with no key in its time would lock the host out")
     return ring
 
 
+def rings_after(held: Ring, chain: list[bytes], now: int) -> tuple[Ring, list[bytes]]:
+    """(the ring that a chain of signed rings leads to, those of the chain that were taken). Each one is signed by a
+    key of the one before; those that are held already are passed over, so that a host that was away for several
+    rotations follows each of them. Raises a subclass of Unfit at the first one that does not hold."""
+    taken = []
+    for data in chain:
+        try:
+            held = next_ring(held, data, now)
+        except Downgraded:
+            continue
+        taken.append(data)
+    return held, taken
+
+
 def write_ring(ring: Ring, signers: dict[str, Ed25519PrivateKey]) -> bytes:
     return seal(RING_MAGIC, msgspec.json.encode(ring), signers)
 
--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -90,15 +90,15 @@
     run_agent(EpollKernel(), sheet, host, logger(f"agent-{place}"))
 
 
-def ask(file, method, target, body=None):
-    """One call to the desk of a sheet."""
+def ask(file, method, target, body=None, raw=b""):
+    """One call to the desk of a sheet; `body` goes as JSON, `raw` as it is."""
     from cobaltpond.calls import FAILED, call
     sheet, loop = sheet_of(file), Loop(EpollKernel())
 
     def go():
         with Deadline(loop, 3_000_000):
             return (yield from call(loop, split_address(sheet.desk.address), method, target,
-                                    json.dumps(body).encode() if body else b"", 1_000_000))
+                                    json.dumps(body).encode() if body else raw, 1_000_000))
     try:
         status, text = loop.run(loop.spawn(go(), "ask"))
     except (*FAILED, TimedOut) as trouble:
@@ -140,6 +140,14 @@
     click.echo(json.dumps(ask(file, "POST", "/v1/back", {"build": build, "why": why})["news"]))
 
 
+@release.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.argument("ring", type=click.File("rb"))
+def keys(file, ring):
+    """Hands a signed key ring to the desk, which keeps it and hands it to every host."""
+    click.echo(json.dumps(ask(file, "POST", "/v1/keys", raw=ring.read())))
+
+
 @release.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @click.option("--as-json", is_flag=True)
@@ -222,6 +230,10 @@
     else:
         click.echo(table(result))
         click.echo(f"records and logs: {folder}", err=True)
+    if result["final"] is not None and not result["final"]["exact"]:
+        click.echo(f"meant: build {result['final']['meant']} in every place; running: {result['final']['running']}",
+                   err=True)
+        sys.exit(1)
     sys.exit(0 if result["found"].kept else 1)
 
 
--- a/cobaltpond/day/run.py
+++ b/cobaltpond/day/run.py
@@ -104,7 +104,7 @@
             for number in range(len(plan["gateways"])):
                 status, body = yield from self.get(ports["doors"] + number, "GET", "/-/status")
                 self.statuses.append(body)
-            _, self.desk_status = yield from self.get(ports["desk"], "GET", "/v1/status")
+            yield from self.look_at_end(ports)
             yield from self.stop_all()
         finally:
             for child in self.children.values():
@@ -157,6 +157,7 @@
         self.write("solo.json", solo)
         self.write("builds.json", {"python": sys.executable, "solo": self.path("solo.json"),
                                    "keys": self.path("keys.json"),
+                                   "broken": {b: f["how"] for b, f in plan["flaws"].items()},
                                    "builds": [plan["build"], *(o["build"] for o in plan["offers"])]})
 
     def start_agents(self, ports):
@@ -220,6 +221,29 @@
         self.say(f"{offer['at'] / 1e6:5.1f} s  build {offer['build']} offered "
                  f"({self.plan['flaws'][str(offer['build'])]['how'] or 'good'})")
         yield from self.get(self.port["desk"], "POST", "/v1/builds", {"build": offer["build"]})
+        if offer.get("back_after") is not None or offer.get("back_in") is not None:
+            yield from self.send_back(begin, offer)
+
+    def send_back(self, begin, offer):
+        """As an operator does: after a time, or when a stage is seen on trial. A build that is back by then, by votes
+        or by a later offer, is left alone."""
+        build, due = offer["build"], offer.get("back_after")
+        if due is not None:
+            yield from self.wait(begin + offer["at"] + due)
+        while self.loop.kernel.now() < begin + self.plan["length"]:
+            _, status = yield from self.get(self.port["desk"], "GET", "/v1/status")
+            news = status["news"]
+            if news["build"] > build or news["build"] == build and news["phase"] in ("going back", "withdrawn"):
+                return
+            trial = news["phase"] == "trial" and news["stage"] == offer.get("back_in")
+            if news["build"] == build and (due is not None or trial):
+                at = (self.loop.kernel.now() - begin) / 1e6
+                self.say(f"{at:5.1f} s  build {build} sent back in stage {news['stage']}; missing: "
+                         f"{status['missing'][:1] or 'nobody'}")
+                self.act("sent back", build=build, stage=news["stage"], missing=status["missing"])
+                yield from self.get(self.port["desk"], "POST", "/v1/back", {"build": build, "why": "a word"})
+                return
+            yield Sleep(50_000)
 
     def trouble(self, begin, trouble):
         for begins, at in ((True, trouble["at"]), (False, trouble["at"] + trouble["len"])):
@@ -257,8 +281,8 @@
     def kill_other(self, kill):
         what, place = kill["what"], self.plan["places"][kill["gateway"] % len(self.plan["places"])]["name"]
         if what == "instance":
-            for pid, words in self.loop.kernel.command_lines():
-                if any(word.startswith(f"{place}.") for word in words) and self.path("solo.json") in words:
+            for pid, where, _ in self.instances_running():
+                if where == place:
                     self.say(f"{kill['at'] / 1e6:5.1f} s  an instance of {place} killed")
                     self.loop.kernel.kill(pid)
                     break
@@ -272,6 +296,32 @@
         words = ["desk", self.sheet_path] if what == "desk" else ["agent", self.sheet_path, "--place", place]
         self.spawn(name, *words)
 
+    def look_at_end(self, ports):
+        """What the desk says, and with agents: does exactly one instance of the build that is meant run in every
+        place, and nothing else anywhere? Processes are looked for in the system, not in anybody's report."""
+        self.final, end = None, self.loop.kernel.now() + READY
+        while True:
+            _, self.desk_status = yield from self.get(ports["desk"], "GET", "/v1/status")
+            if not self.plan.get("agents"):
+                return
+            _, told = yield from self.get(ports["desk"], "GET", "/v1/history")
+            meant = self.desk_status["news"]["build"]
+            if self.desk_status["news"]["phase"] in ("withdrawn", "going back"):
+                meant = self.desk_status["stable"]
+            running = sorted((place, build) for _, place, build in self.instances_running())
+            self.final = {"meant": meant, "running": running, "history": told["history"],
+                          "exact": running == sorted((p["name"], meant) for p in self.plan["places"])}
+            if self.final["exact"] or self.loop.kernel.now() > end:
+                return
+            yield Sleep(100_000)
+
+    def instances_running(self):
+        """(pid, place, build) of every instance that this day's agents have started."""
+        for pid, words in self.loop.kernel.command_lines():
+            if self.path("solo.json") in words:
+                build, _, name = words[words.index(self.path("solo.json")) + 1:][:3]
+                yield pid, name.partition(".")[0], int(build)
+
     def stop_all(self):
         """Gateways first, in order; each has to end by itself with 0."""
         for number, child in self.gateways.items():
@@ -290,9 +340,8 @@
 
     def end_instances(self):
         """Instances outlive their agents; the day's own are ended with it."""
-        for pid, words in self.loop.kernel.command_lines():
-            if self.path("solo.json") in words:
-                self.loop.kernel.kill(pid)
+        for pid, *_ in self.instances_running():
+            self.loop.kernel.kill(pid)
 
     def ended(self, names):
         end = self.loop.kernel.now() + READY
@@ -323,4 +372,4 @@
         self.write("acts.json", self.acts)
         self.write("statuses.json", self.statuses)
         return {"found": check_all(crowd, yard, self.acts, runsheet), "crowd": crowd, "yard": yard, "begin": begin,
-                "statuses": self.statuses, "desk": self.desk_status, "plan": self.plan}
+                "statuses": self.statuses, "desk": self.desk_status, "plan": self.plan, "final": self.final}
--- a/cobaltpond/day/script.py
+++ b/cobaltpond/day/script.py
@@ -16,6 +16,9 @@
 TROUBLES = ("slow", "fast_errors", "vanish", "zone_cut", "burst", "tenant_burst", "discovery_stale", "control_down",
             "conn_squeeze", "handshake_slow", "balancer_stall", "false_reports", "give_up", "bad_requests",
             "neighbour", "shared_slow", "heavy_tail")
+# a chunk that ends early, one that is another, a stranger's signature; a process that ends at once, never answers its
+# health check, ends after a while of serving, does not hear the signal to stop
+BROKEN = ("cut", "corrupt", "forged", "exit", "deaf", "crash", "stubborn")
 
 
 class Day(p.Part, kw_only=True):
@@ -85,11 +88,21 @@
 
 
 class Offer(p.Part, kw_only=True):
+    """`flaw`: what hits see of a bad build, or what is broken before it serves any (agents only). An operator sends
+    it back `back_after` microseconds after the offer, or as soon as it is seen on trial in stage `back_in`."""
     at: p.Span
-    flaw: Literal["", "errors", "slow", "class", "load", "late", "wrong", "shared"] = ""
+    flaw: Literal[("", "errors", "slow", "class", "load", "late", "wrong", "shared", *BROKEN)] = ""
     strength: p.Share = 0.5
     group: str = ""
     speed: Annotated[float, Meta(gt=0)] = 1.0
+    back_after: p.Span | None = None
+    back_in: p.Many | None = None
+
+    def wrong(self, sheet):
+        if self.flaw in BROKEN and not any(f.agents for f in sheet["fleet"]):
+            return f"a build broken by {self.flaw!r} needs fleet(agents = True) above this line"
+        if self.back_in is not None and self.back_in >= len(sheet["release"][0].shares):
+            return f"there is no stage {self.back_in}"
 
 
 class Trouble(p.Part, kw_only=True):
@@ -150,7 +163,8 @@
         "release": msgspec.to_builtins(one("release")), "rules": msgspec.to_builtins(one("rules")),
         "allow": msgspec.to_builtins(one("allow")), "reports": msgspec.to_builtins(one("reports")),
         "prices": msgspec.to_builtins(one("prices")), "door": msgspec.to_builtins(one("door")),
-        "offers": [{"at": o.at, "build": first + 1 + n} for n, o in enumerate(calls["offer"])],
+        "offers": [{"at": o.at, "build": first + 1 + n, "back_after": o.back_after, "back_in": o.back_in}
+                   for n, o in enumerate(calls["offer"])],
         "flaws": {str(first + 1 + n): {"how": o.flaw, "strength": o.strength, "group": o.group, "speed": o.speed}
                   for n, o in enumerate(calls["offer"])},
         "troubles": [{"name": f"{t.kind}-{n}", "kind": t.kind, "at": t.at, "len": t.length, "size": t.size,
--- a/cobaltpond/day/table.py
+++ b/cobaltpond/day/table.py
@@ -68,7 +68,8 @@
     crossed = sum(zones[e["gateway"]] != places[e["instance"].rpartition("." if "." in e["instance"] else "-")[0]]
                   for e in arrivals)
     whole = sum(e["benefit"] for e in asked.values()) or 1.0
-    good = [(o["at"], o["build"]) for o in plan["offers"] if not plan["flaws"][str(o["build"])]["how"]]
+    good = [(o["at"], o["build"]) for o in plan["offers"]
+            if not plan["flaws"][str(o["build"])]["how"] and o.get("back_in") is None]
     behind = sum(worth for (build, at), worth in served_by.items()
                  if build < max([b for when, b in good if when <= at], default=0))
     benefit = {g["name"]: g["benefit"] for g in plan["groups"]}
@@ -116,5 +117,11 @@
                  f"p50 {f['p50']:.0f} ms, p99 {f['p99']:.0f} ms, loop lag p99 {f['lag p99 us'] / 1000:.1f} ms")
     lines.append("by path group: " + ", ".join(f"{g} {x:.3f}" for g, x in f["by group"].items()))
     lines.append(f"G {f['G']:.3f} (prices: " + ", ".join(f"{k} {v:.3f}" for k, v in f["prices"].items()) + ")")
+    if result["final"]:
+        for row in result["final"]["history"]:
+            lines.append(f"  build {row['build']} stage {row['stage']}: {row['phase']} ({row['why']})")
+        lines.append(f"at the end: build {result['final']['meant']} is meant; "
+                     + ("it, and nothing else, runs in every place" if result["final"]["exact"] else
+                        f"running: {result['final']['running']}"))
     lines += [f"{at:6.1f} s  build {build} stage {stage}: {phase}" for at, build, stage, phase in releases(result)]
     return "\n".join(lines)
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -1,6 +1,11 @@
 """The running release desk: calls from gateways and operators, the platform's instances, news to all."""
+import base64
+import binascii
 import json
 
+import msgspec
+
+from cobaltpond.builds.manifest import Ring, Unfit, rings_after
 from cobaltpond.calls import FAILED, Refusal, Stream, call, json_answer, service
 from cobaltpond.desk.hosts import Hosts
 from cobaltpond.desk.stages import NOTHING, Refused, Stages
@@ -16,8 +21,8 @@
     def __init__(self, loop, sheet, log):
         self.loop, self.sheet, self.log = loop, sheet, log
         self.platform = split_address(sheet.desk.platform) if sheet.desk.platform else None
-        self.hosts, self.epoch = None, loop.kernel.wall() // 1_000_000
-        self.order_streams, self.sent, self.history = {}, {}, []
+        self.hosts, self.epoch = None, self.wall()
+        self.order_streams, self.sent, self.history, self.rings = {}, {}, [], []
         self.stages, self.streams, self.last, self.told_at = None, {}, None, 0
         self.stop_asked, self.kept, self.journal = False, None, None
         if sheet.desk.journal:
@@ -73,6 +78,7 @@
             raise Refusal(404, f"no place {place!r}")
         stream = Stream()
         self.order_streams.setdefault(place, []).append(stream)
+        stream.put({"rings": self.rings})
         self.sent.pop(place, None)
         return stream
 
@@ -116,6 +122,7 @@
             self.stages.load(kept, self.loop.now())
             self.epoch = max(self.epoch, kept.get("epoch", 0) + 1)
             self.history = kept.get("history", [])
+            self.rings = kept.get("rings", [])
             self.log.info("carried on", build=self.stages.build, stage=self.stages.stage, phase=self.stages.phase)
         self.keep()
 
@@ -124,7 +131,8 @@
         the desk: guards against telling what a restart would forget."""
         if self.journal is None:
             return
-        state = {**self.stages.dump(), "epoch": self.epoch, "history": self.history}
+        state = {**self.stages.dump(), "epoch": self.epoch, "history": self.history,
+                 "rings": self.rings}
         mark = {name: value for name, value in state.items() if name not in ("at", "held")}
         if mark != self.kept:
             if self.journal.long:
@@ -219,6 +227,8 @@
             return self.follow_orders(request)
         if self.hosts and route == ("POST", "/v1/reports"):
             return self.report(request.json())
+        if self.hosts and route == ("POST", "/v1/keys"):
+            return self.take_ring(request.body)
         if route == ("POST", "/v1/back"):
             return self.back(request.json())
         if route == ("GET", "/v1/history"):
@@ -262,6 +272,28 @@
         self.tell(number, {"wrong": told})
         return json_answer(202, {})
 
+    def take_ring(self, data):
+        """A signed key ring for all hosts. It is held against the sheet's ring and all that have come since, kept, and
+        handed on; each host checks it again for itself."""
+        first = msgspec.json.decode(self.loop.kernel.read_file(self.sheet.builds.keys) or b"{}", type=Ring)
+        try:
+            held, _ = rings_after(first, [base64.b64decode(one) for one in self.rings], self.wall())
+            ring, taken = rings_after(held, [data], self.wall())
+        except (Unfit, binascii.Error) as trouble:
+            raise Refusal(409, f"{type(trouble).__name__}: {trouble}") from None
+        if not taken:
+            raise Refusal(409, f"key ring {held.version} is held already, or a later one")
+        self.rings = [*self.rings, base64.b64encode(data).decode()]
+        self.keep()
+        for streams in self.order_streams.values():
+            for stream in streams:
+                stream.put({"rings": self.rings})
+        self.log.info("key ring", version=ring.version, keys=[key.id for key in ring.keys])
+        return json_answer(202, {"version": ring.version, "keys": [key.id for key in ring.keys]})
+
+    def wall(self):
+        return self.loop.kernel.wall() // 1_000_000
+
     def offer(self, body):
         if not isinstance(body.get("build"), int):
             raise Refusal(400, "build: a whole number is needed")
--- a/cobaltpond/standins/solo.py
+++ b/cobaltpond/standins/solo.py
@@ -14,6 +14,7 @@
 from cobaltpond.standins.machine import Flaw, Kind, Machine
 from cobaltpond.standins.record import Record
 
+CRASH_AFTER = 1_500_000                                # a build that crashes has served for so long
 SERVE = """#!/bin/sh
 exec %s -m cobaltpond standin solo %s %d "$1" "$2" "$3"
 """
@@ -31,11 +32,13 @@
         kind = Kind(**{**plan["kind"], "speed": place["speed"] * flaw.get("speed", 1.0)})
         machine = Machine(kind, build, loop.now(), self.chance, False, plan["rules"]["factor"],
                           plan["rules"]["tip_time"])
+        self.how, self.crash_at = flaw.get("how"), loop.now() + CRASH_AFTER
         if flaw.get("how"):
             machine.flaw = Flaw(flaw["how"], flaw["strength"], flaw.get("group", ""), self.chance)
         self.instance = Instance(self, name, place["name"], place["zone"], place["cell"], machine,
                                  loop.kernel.listen(("127.0.0.1", port), 64))
         self.instance.start = mark
+        self.instance.silent = self.how == "deaf"
         self.record("up", instance=name, start=mark, began=machine.started, build=build, warm=False,
                     zone=place["zone"], cell=place["cell"], cores=kind.cores, speed=kind.speed,
                     cold_share=kind.cold_share, cold_time=kind.cold_time)
@@ -59,11 +62,14 @@
     def run(self):
         while not self.stop_asked:
             yield Sleep(20_000)
+            if self.how == "crash" and self.loop.now() > self.crash_at:
+                self.instance.end()
+                break
         self.record("stop", instance=self.instance.id, start=self.instance.start)
         self.record.flush()
 
     def stop(self, name=""):
-        self.stop_asked = True
+        self.stop_asked = self.how != "stubborn"
 
 
 def run_solo(kernel, plan, build, port, name, mark, log):
@@ -76,15 +82,22 @@
     def __init__(self, loop, plan, port):
         self.loop, self.stop_asked, now = loop, False, loop.kernel.wall() // 1_000_000
         key = Ed25519PrivateKey.generate()
+        stranger = Ed25519PrivateKey.generate()
         public = base64.b64encode(key.public_key().public_bytes_raw()).decode()
         ring = Ring(1, [Key("day", public, 0, 1 << 40)])
         loop.kernel.replace_file(plan["keys"], msgspec.json.encode(ring), sync=False)
         self.server = BuildServer(loop, loop.kernel.listen(("127.0.0.1", port), 128))
         for build in plan["builds"]:
-            serve = SERVE % (quote(plan["python"]), quote(plan["solo"]), build)
+            how = plan.get("broken", {}).get(str(build), "")
+            serve = "#!/bin/sh\nexit 3\n" if how == "exit" else SERVE % (
+                quote(plan["python"]), quote(plan["solo"]), build)
             files = {"serve": serve.encode(), "data": b"%d " % build * 20_000}
-            self.server.add(build, *make_build(build, files, {"day": key}, now, now + 36_000, 16_384,
-                                               ["serve", "{port}", "{id}", "{mark}"]))
+            signed, chunks = make_build(build, files, {"day": stranger if how == "forged" else key}, now,
+                                        now + 36_000, 16_384, ["serve", "{port}", "{id}", "{mark}"])
+            self.server.add(build, signed, chunks)
+            if how in ("cut", "corrupt"):
+                way = "junk" if how == "corrupt" else "cut 0"
+                self.server.ways.update((f"/chunks/{name}", [(way, 1 << 30)]) for name in chunks)
 
     def run(self):
         while not self.stop_asked:
--- a/cobaltpond/standins/town.py
+++ b/cobaltpond/standins/town.py
@@ -102,12 +102,13 @@
             self.listed[row["id"]] = row
         return json_answer(200, {})
 
-    def add_build(self, number, flaw="good", size=200_000, wrong_key=False, salt=b""):
+    def add_build(self, number, flaw="good", size=200_000, key=None, salt=b""):
+        """`key`: another one than the town's signs it, under the same id or, where it is a pair, its own."""
         body = (salt or b"%d" % number) * (size // max(1, len(salt or b"%d" % number)))
-        key = Ed25519PrivateKey.from_private_bytes(b"x" * 32) if wrong_key else self.key
+        id, key = key if isinstance(key, tuple) else ("town", key or self.key)
         now = self.loop.kernel.wall() // SECOND
         signed, chunks = make_build(number, {"serve": (SERVE % sys.executable).encode(), "flaw": flaw.encode(),
-                                             "data": body}, {"town": key}, now, now + 10_000, 16384,
+                                             "data": body}, {id: key}, now, now + 10_000, 16384,
                                     ["serve", "{port}"])
         for server in self.servers:
             server.add(number, signed, chunks)
@@ -129,9 +130,9 @@
             self.start(name)
 
     def ask(self, method, target, body=None):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode() if body is not None else b""
         with Deadline(self.loop, SECOND):
-            status, text = yield from call(self.loop, self.desk, method, target,
-                                           json.dumps(body).encode() if body is not None else b"", SECOND)
+            status, text = yield from call(self.loop, self.desk, method, target, data, SECOND)
         return status, json.loads(text)
 
     def insist(self, method, target, body=None, bound=15 * SECOND, good=lambda status, answer: status < 300):
--- /dev/null
+++ b/days/broken.star
@@ -0,0 +1,33 @@
+# Every way in which a build can be broken, through agents on eight hosts and under traffic: each is offered, and sent
+# back by an operator; then one that goes bad under traffic, one taken back in each stage, and one that goes out.
+day(length = s(112), rate = 50.0, seed = 1)
+fleet(instances = 8, zones = ["north", "south"], cores = 2, cold_time = s(2), agents = True)
+registry(notice = ms(300), spread = ms(100), add = ms(100))
+path_group(name = "look", kind = "repeatable", target_latency = ms(900), client_timeout = ms(2500))
+path_group(name = "pay", kind = "mutating", target_latency = ms(1000), client_timeout = s(3), benefit = 2.0)
+traffic(group = "look", share = 0.7, work = ms(80))
+traffic(group = "pay", share = 0.3, work = ms(90), method = "POST")
+customer(name = "emajoe-hall", share = 0.6)
+customer(name = "vaksali-fest", share = 0.4)
+release(gate = "count", layout = "beside", shares = [0.25, 0.5, 1.0], caps = [0.3, 0.6, 1.0], exposure_window = s(2),
+        exposure_free = 2.0, on_votes = 2, back_votes = 2, vote_life = s(6), vote_wait = ms(1000), dwell = ms(800),
+        start_within = s(3), settle = ms(200), news_period = s(2), drain_time = ms(800), delay_price = 0.35,
+        harm_price = 3.0)
+rules(drain_grace = ms(250), cold_time = s(3), cold_share = 0.35, overload_factor = 2.0, tip_time = ms(1500))
+allow(most_forwards = 3, probe = True, tell = True)
+reports(how = "answers", names = ["util", "inflight", "latency_ms"])
+prices(crossing = 0.04, probe = 0.01)
+gateway(zone = "north")
+gateway(zone = "south")
+offer(at = s(2), flaw = "cut", back_after = s(5))
+offer(at = s(9), flaw = "corrupt", back_after = s(4))
+offer(at = s(15), flaw = "forged", back_after = s(4))
+offer(at = s(21), flaw = "exit", back_after = s(5))
+offer(at = s(28), flaw = "deaf", back_after = s(5))
+offer(at = s(35), flaw = "crash", back_after = s(6))
+offer(at = s(43), flaw = "stubborn", back_after = s(5))
+offer(at = s(51), flaw = "errors", strength = 0.9, back_after = s(12))
+offer(at = s(65), back_in = 0)
+offer(at = s(71), back_in = 1)
+offer(at = s(82), back_in = 2)
+offer(at = s(95))
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -1,5 +1,6 @@
 """Manifests, the store and the journal under cut power, fetching from sources that misbehave."""
 import base64
+import errno
 import json
 import os
 
@@ -286,6 +287,44 @@
     assert store.used <= 40_000
 
 
+class FullDisk(EpollKernel):
+    """The n-th write finds no room left when half of it is written; there is room again once `left` is set anew."""
+
+    def __init__(self, left):
+        super().__init__()
+        self.left = left
+
+    def write_file(self, path, data, mode=0o644):
+        self.left -= 1
+        if self.left == 0:
+            super().write_file(path, data[:len(data) // 2], mode)
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().write_file(path, data, mode)
+
+
+@pytest.mark.parametrize("at", range(1, 11))
+def test_a_disk_that_fills_up_in_mid_write_leaves_nothing_half_done(tmp_path, at):
+    """At every write of a build: Full is told, what came before stays, and with room again it goes on from there."""
+    signed, chunks = build()
+    kernel = FullDisk(at)
+    store, manifest, came = Store(kernel, str(tmp_path)), read_manifest(signed, RING, 500), []
+    try:
+        for name, data in chunks.items():
+            store.put(name, data)
+            came.append(name)
+        store.assemble(manifest, signed)
+        assert kernel.left > 0
+    except Full:
+        assert kernel.left == 0
+    left = [name for _, _, files in os.walk(tmp_path) for name in files]
+    assert not [name for name in left if name.endswith(".new")] and set(came) == set(store.chunks)
+    assert store.used == sum(len(chunks[name]) for name in came) and not os.path.exists(tmp_path / "builds/42.new")
+    for name in store.missing(manifest):
+        store.put(name, chunks[name])
+    store.assemble(manifest, signed)
+    assert store.sound(manifest) and store.builds() == [42]
+
+
 # --- fetching --------------------------------------------------------------------------------------------------
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -310,7 +310,7 @@
              "agent", "standins", "day", "cli"]
     alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
              "audit": {"audit"}, "keep": {"keep", "loop"}, "sheet": {"sheet"}, "builds": {"builds", "loop", "wire"},
-             "desk": {"desk", "keep", "loop", "wire", "sheet", "calls"},
+             "desk": {"desk", "builds", "keep", "loop", "wire", "sheet", "calls"},
              "agent": {"agent", "builds", "keep", "loop", "wire", "sheet", "calls"},
              "standins": {"standins", "builds", "loop", "wire", "calls"}}
     root, bad = pathlib.Path(__file__).parent.parent / "cobaltpond", []
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -1,6 +1,10 @@
 """Real agents and a real desk as processes, with builds that are broken on purpose, and kills."""
+import base64
+
 import pytest
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from cobaltpond.builds.manifest import Key, Ring, write_ring
 from cobaltpond.loop import EpollKernel, Loop, Sleep
 from cobaltpond.standins.town import Town
 
@@ -37,7 +41,7 @@
         for flaw in ("exit", "deaf", "crash", "stubborn", "corrupt", "cut", "forged"):
             number += 1
             _, chunks = town.add_build(number, flaw if flaw in ("exit", "deaf", "crash", "stubborn") else "good",
-                                       wrong_key=flaw == "forged")
+                                       key=Ed25519PrivateKey.generate() if flaw == "forged" else None)
             if flaw in ("corrupt", "cut"):
                 for server in town.servers:
                     way = "junk" if flaw == "corrupt" else "cut 0"
@@ -108,3 +112,40 @@
         assert "gone" in [state for _, _, _, state, _ in town.record[gone:]]
     run.go(go())
     assert not run.deaths
+
+
+def test_keys_are_rotated_and_the_build_of_the_old_key_can_still_be_gone_back_to(tmp_path):
+    """A host that was away takes up both rotations; a ring that nobody vouches for, or an old one, changes nothing."""
+    run = Run(tmp_path, 3, "in place")
+    town = run.town
+    signers = {n: Ed25519PrivateKey.generate() for n in ("second", "third")}
+
+    def ring(version, *names):
+        return Ring(version, [Key(n, base64.b64encode(signers[n].public_key().public_bytes_raw()).decode(), 0, 1 << 40)
+                              for n in names])
+
+    def go():
+        yield from first_build(town)
+        town.kill("h2")
+        for data, status in ((write_ring(ring(3, "third"), signers), 409),
+                             (write_ring(ring(2, "second"), {"town": town.key}), 202),
+                             (write_ring(ring(2, "third"), {"town": town.key}), 409),
+                             (write_ring(ring(3, "third"), {"second": signers["second"]}), 202),
+                             (b"no ring", 409)):
+            assert (yield from town.ask("POST", "/v1/keys", data))[0] == status
+        town.kill("desk")
+        town.start("desk")
+        town.start("h2")
+        town.add_build(2, key=("third", signers["third"]))
+        yield from town.insist("POST", "/v1/builds", {"build": 2}, good=lambda s, a: s in (202, 409))
+        yield from town.push(2)
+        yield from town.until(lambda: town.exactly(2))
+        town.kill("h1")
+        town.start("h1")
+        town.add_build(3)                              # signed by the first key, which is trusted no more
+        yield from town.vote(2, 0, "back")
+        yield from town.until(lambda: town.exactly(1))
+        yield from town.insist("POST", "/v1/builds", {"build": 3}, good=lambda s, a: s in (202, 409))
+        yield from town.insist("GET", "/v1/status", good=lambda s, a: "UnknownKey" in str(a["missing"]))
+    run.go(go())
+    assert not run.deaths
