A drain begins when the list has heard of it

Cause: agents waited the drain time from their own decision on.

Change: the wait begins when the list has answered, and does not wait for that longer than 5 s.

--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cobaltpond.agent.states import STARTING, Place, Slot
+from cobaltpond.agent.states import DRAINING, STARTING, Place, Slot
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, held_manifest, read_manifest, rings_after
 from cobaltpond.builds.store import Full, Rotten, Store
@@ -20,6 +20,7 @@
 CALL_TIME = 1_000_000
 OUTPUT = 1 << 20                                       # bytes kept of what an instance prints
 PORTS = 8
+LIST_PATIENCE = 5_000_000                              # how long a drain waits for the list to hear of it
 STEADY = 10_000_000                                    # up for so long, crashes before are forgiven
 
 
@@ -345,7 +346,9 @@
         self.signal(build, "KILL")
 
     def do_wait_drained(self, build):
-        self.after(build, self.sheet.release.drain_time, "drained")
+        """The drain begins when the list has heard of it, see `tell_list`: guards against an instance that is ended
+        before any gateway can know. A list that stays out of reach does not hold a take-back for ever."""
+        self.after(build, self.sheet.release.drain_time + LIST_PATIENCE, "drained")
 
     def do_wait_overdue(self, build):
         self.after(build, self.sheet.builds.stop_time, "overdue")
@@ -396,6 +399,9 @@
                         status, _ = yield from call(self.loop, split_address(self.sheet.listing.address), "POST",
                                                     "/v1/instances", json.dumps(row).encode(), CALL_TIME)
                     if status == 200:
+                        slot = self.place.slots.get(build)
+                        if state == "draining" and slot is not None and slot.state == DRAINING:
+                            self.after(build, self.sheet.release.drain_time, "drained")
                         return
                 except (*FAILED, TimedOut):
                     pass
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -74,6 +74,15 @@
     assert found == []
 
 
+def test_a_drain_begins_when_the_list_has_heard_of_it():
+    """The list was out of reach for longer than a drain: instances were ended while all gateways held them for up."""
+    found = run_text(scenario("""
+offer(at = s(2), back_after = s(4))
+fault(kind = "silent", at = ms(5900), length = ms(2500), on = "yard")
+""", length=12, agents=True)).found
+    assert found == []
+
+
 def test_idle_connections_go_when_handles_are_used_up():
     found = run_text(scenario("""
 fault(kind = "handles", at = s(2), length = s(3), on = "gateway-0", size = 14)
