--- a/bench/mutate.py
+++ b/bench/mutate.py
@@ -98,6 +98,8 @@
             if how == "survived":
                 print(f"line {line}: {name}\n  - {lines[line - 1].strip()}\n  + {text.splitlines()[line - 1].strip()}",
                       flush=True)
+            if sum(counts.values()) % 10 == 0:
+                print(f"{sum(counts.values())} tried: {dict(counts)}", flush=True)
     caught = sum(n for how, n in counts.items() if how != "survived")
     print(f"{len(every)} mutants, {len(chosen)} tried: {caught} noticed ({caught / len(chosen):.3f}): {dict(counts)}")
 
