Regression tests that fail without their fix

Cause: tried against a copy with the fixes taken out, three of the new simulation tests passed all the same.

--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -268,6 +268,33 @@
     assert not loop.deaths
 
 
+def test_what_can_be_spared_goes_before_accepting_pauses(loop):
+    """Found by simulation: hits waited in the backlog while idle connections held on to handles."""
+    class Full:
+        reader, tries, spared = None, 0, 0
+
+        def accept(self):
+            self.tries += 1
+            if not self.spared:
+                raise HandlesUsedUp("none left")
+
+        def relief(self):
+            self.spared += 1
+            return True
+
+        def close(self):
+            pass
+    full = Full()
+
+    def go():
+        task = loop.spawn(serve(loop, full, None, 4, "door", pause=10_000 * MS, relief=full.relief), "door")
+        yield Sleep(20 * MS)
+        task.cancel()
+        yield task
+    run(loop, go())
+    assert full.spared == 1 and full.tries >= 2
+
+
 def test_children_end_and_are_told_to(loop, tmp_path):
     child = loop.kernel.spawn([sys.executable, "-c", "print('up', flush=True); import time; time.sleep(60)"],
                               str(tmp_path / "out"))
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -70,7 +70,7 @@
     found = run_text(scenario("""
 offer(at = ms(2600))
 fault(kind = "full", at = ms(2300), length = s(1), on = "place-02")
-""", length=16, agents=True)).found
+""", length=22, agents=True)).found
     assert found == []
 
 
@@ -83,20 +83,6 @@
     assert found == []
 
 
-def test_idle_connections_go_when_handles_are_used_up():
-    found = run_text(scenario("""
-fault(kind = "handles", at = s(2), length = s(3), on = "gateway-0", size = 14)
-""")).found
-    assert found == []
-
-
-def test_a_key_answered_by_the_new_build_stays_with_it():
-    """A forward to the earlier build, out meanwhile and answered last, lowered the kept key."""
-    for seed in range(3):
-        found = run_text(scenario("offer(at = ms(1500))\n", length=12, seed=seed, keys=40)).found
-        assert found == []
-
-
 TAGGED = """
 path_group(name = "hold", kind = "tagged", scope = "zone", repeat_window = ms(300), target_latency = ms(1000),
            client_timeout = ms(2500), benefit = 3.0)
