Simulated disk faults excuse what a broken disk brings about, and nothing else

Cause: with a disk fault in a scenario every exception in any process was let pass, which hid more than it excused.

--- a/cobaltpond/sim/run.py
+++ b/cobaltpond/sim/run.py
@@ -3,10 +3,11 @@
 
 from cobaltpond.audit.check import check_all
 from cobaltpond.day.run import DayFailed, DayRun
+from cobaltpond.keep import Broken
 from cobaltpond.loop import run_part
 from cobaltpond.sim.faults import Faults
 from cobaltpond.sim.machine import Machine
-from cobaltpond.sim.script import draw, read_scenario
+from cobaltpond.sim.script import DISK, draw, read_scenario
 from cobaltpond.sim.truth import Truth
 from cobaltpond.sim.world import Stuck
 
@@ -43,8 +44,8 @@
         world = self.world = self.machine.world
         world.watch = watch
         self.machine.decisions = decisions
-        self.machine.expected = (DayFailed, *((OSError, Exception) if any(
-            row["kind"] in ("full", "sync_fails", "power_cut") for row in plan["fault"]) else ()))
+        disks = any(row["kind"] in DISK for row in plan["fault"])
+        self.machine.expected = (DayFailed, Broken, OSError) if disks else (DayFailed,)
         for n, gateway in enumerate(plan["gateways"]):
             self.machine.network.zones[f"gateway-{n}"] = gateway["zone"]
         for place in plan["places"]:
