--- a/cobaltpond/benchlink/runsheet.py
+++ b/cobaltpond/benchlink/runsheet.py
@@ -28,6 +28,7 @@
     ("may_cancel", "policyLimits.mayCancel", False), ("may_duplicate", "policyLimits.mayDuplicate", False),
     ("may_probe", "policyLimits.probes", False), ("may_tell", "policyLimits.peers", False),
     ("may_advise", "policyLimits.retryAfter", False), ("most_advice", "policyLimits.maxRetryAfter", True),
+    ("idle_time", "policyLimits.connIdle", True), ("answer_slack", "obligations.answerSlack", True),
     ("most_forwards", "policyLimits.maxAttempts", False), ("dial_time_out", "policyLimits.dialTimeout", True),
     ("drain_grace", "obligations.stopSendingWithin", True), ("cold_time", "obligations.cold", True),
     ("cold_share", "obligations.coldFrom", False), ("overload_factor", "obligations.overloadFactor", False),
--- /dev/null
+++ b/cobaltpond/edge/config.py
@@ -0,0 +1,97 @@
+"""The platform's configuration: one JSON file, checked, with the settings as the decisions' runsheet."""
+import json
+from dataclasses import dataclass
+
+from cobaltpond.benchlink.runsheet import runsheet
+from cobaltpond.wire.address import split_address
+
+MOST = 8 << 20                                         # bytes of the file
+# Parts of the limit of descriptors. Clients hold at most a third of them for hits; who says nothing gets the rest
+# of the clients' part, and what remains is for desk, list, peers and the moment in which one replaces another.
+CLIENTS, INSTANCES = 0.45, 0.42
+
+
+class BadConfig(Exception):
+    """What is wrong with the configuration, in one line."""
+
+
+@dataclass(frozen=True)
+class Instances:
+    """What `gateway.instances.Places` goes by. Times in microseconds."""
+    connections: int
+    dial_time: int
+    idle_time: int
+
+
+@dataclass(frozen=True)
+class Config:
+    """Addresses as (host, port). `known` and `news` are JSON as the platform writes them."""
+    name: str
+    listen: tuple
+    discovery: tuple
+    desk: tuple
+    seed: int
+    sockets: int
+    peer_listen: tuple | None
+    peers: tuple
+    peers_all: tuple | None
+    known: dict | None
+    news: dict | None
+    runsheet: dict
+
+    @property
+    def client_room(self) -> int:
+        return max(8, int(self.sockets * CLIENTS))
+
+    @property
+    def instance_room(self) -> int:
+        return max(8, int(self.sockets * INSTANCES))
+
+    @property
+    def instances(self) -> Instances:
+        # what has idled nine tenths of its time is closed here, before the machine does it with a hit on its way
+        return Instances(self.instance_room, self.runsheet["dial_time_out"], self.runsheet["idle_time"] * 9 // 10)
+
+
+def config_of(told: dict) -> Config:
+    """Raises BadConfig."""
+    try:
+        sheet = runsheet(told["settings"])
+        for name in ("gateways", "number", "path_groups", "dial_time_out", "idle_time", "exposure_window"):
+            if not sheet.get(name) and sheet.get(name) != 0:
+                raise BadConfig(f"the settings lack {name}")
+        sheet.setdefault("answer_slack", 0)
+        rollouts, seed = told["rollouts"], told.get("seed")
+        return Config(
+            name=str(told["name"]), listen=split_address(told["listen"]), discovery=split_address(told["discovery"]),
+            desk=split_address(rollouts["address"]), seed=int(seed, 16) if isinstance(seed, str) else int(seed or 0),
+            sockets=int((told.get("limits") or {}).get("sockets") or 1024),
+            peer_listen=split_address(told["peer_listen"]) if told.get("peer_listen") else None,
+            peers=tuple(split_address(peer) for peer in told.get("peers") or ()),
+            peers_all=split_address(told["peers_all"]) if told.get("peers_all") else None,
+            known=told.get("known"), news=rollouts.get("news"), runsheet=sheet)
+    except BadConfig:
+        raise
+    except KeyError as trouble:
+        raise BadConfig(f"the configuration lacks {trouble}") from None
+    except (TypeError, ValueError, AttributeError) as trouble:
+        raise BadConfig(f"the configuration makes no sense: {trouble!r}") from None
+
+
+def read_config(kernel, path: str) -> Config:
+    """Raises BadConfig."""
+    try:
+        data = kernel.read_file(path)
+    except OSError as trouble:
+        raise BadConfig(f"{path}: {trouble.strerror}") from None
+    if data is None:
+        raise BadConfig(f"{path}: no such file")
+    if len(data) > MOST:
+        raise BadConfig(f"{path}: more than {MOST} bytes")
+    try:
+        told = json.loads(data)
+    except ValueError as trouble:
+        raise BadConfig(f"{path}: no JSON: {trouble}") from None
+    if not isinstance(told, dict):
+        raise BadConfig(f"{path}: no JSON object")
+    return config_of(told)
--- /dev/null
+++ b/cobaltpond/edge/discovery.py
@@ -0,0 +1,112 @@
+"""The list of instances as the platform's discovery tells it: all of it once, then watches one after another."""
+import json
+
+from cobaltpond.calls import FAILED, Waits, call
+from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.wire.address import split_address
+from cobaltpond.wire.lines import BadLine
+
+STATES = {"up": "up", "draining": "draining", "removed": "gone"}
+WATCH = 2_000_000                                      # how long a watch may wait for something new
+ANSWER = 1_000_000                                     # how late an answer that need not wait may come
+
+
+class Listed:
+    """What discovery said, as rows for the decisions. Free of I/O."""
+
+    def __init__(self):
+        self.seq, self.starts = 0, {}
+
+    def apply(self, now: int, wall: int, told: dict) -> tuple[bool, list]:
+        """(whole, [(row, address)]). `now` and `wall` are one moment on our clock and in Unix time, microseconds.
+        Raises BadLine, and then nothing of it is kept."""
+        try:
+            whole, seq = told["whole"], int(told["seq"])
+            rows, starts = [], {}
+            for entry in told["hosts"]:
+                id, born = str(entry["host"]), int(entry.get("born_ms") or 0)
+                # once for each start: a clock that is set must not make a restart of what did not restart
+                started = self.starts.get((id, born), now - (wall - born * 1000)) if born else None
+                if born:
+                    starts[id, born] = started
+                rows.append(({"id": id, "build": int(entry.get("revision_no") or 0), "cell": entry.get("block"),
+                              "zone": entry.get("site"), "state": STATES[entry["health"]],
+                              "weight": entry.get("share") or 1, "started": started},
+                             split_address(entry["dial"]) if entry["health"] != "removed" else ("", 0)))
+        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+            raise BadLine(f"no list: {trouble!r}") from trouble
+        if not whole and seq < self.seq:
+            return False, []                           # overtaken by another connection's
+        self.seq = seq
+        if whole:
+            self.starts = starts
+        else:
+            ids = {row["id"] for row, _ in rows}
+            self.starts = {mark: at for mark, at in self.starts.items() if mark[0] not in ids} | starts
+        return bool(whole), rows
+
+
+class Discovery:
+    def __init__(self, loop, host, address, log, asking: bool):
+        """`asking`: the decisions wait for answers, and so hear of those that bring nothing new."""
+        self.loop, self.host, self.address, self.log, self.asking = loop, host, address, log, asking
+        self.listed, self.heard, self.following = Listed(), False, None
+        self.counts = {"applied": 0, "errors": 0}
+
+    def take(self, told) -> None:
+        whole, rows = self.listed.apply(self.loop.now(), self.loop.kernel.wall(), told)
+        if rows or whole:
+            self.counts["applied"] += 1
+            self.host.places.update(whole, rows)
+            self.log.info("list", seq=self.listed.seq, whole=whole,
+                          rows=[f"{r['id']} {r['state']} build {r['build']}" for r, _ in rows][:20])
+        if rows or whole or self.asking:
+            self.host.post_first("on_list", whole, [row for row, _ in rows])
+
+    def recall(self, known: dict | None) -> None:
+        """The list as this gateway last held it; it may be old, and nothing is built upon its version."""
+        if known:
+            try:
+                self.take({**known, "whole": True})
+            except BadLine as trouble:
+                self.log.warning("known list unreadable", why=str(trouble))
+            self.listed.seq = 0
+
+    def start(self, address) -> None:
+        """Follows at this address from now on; the task that followed before ends once this one has heard."""
+        before, self.address = self.following, address
+        self.following = self.loop.spawn(self.follow(address, before), "discovery")
+
+    def follow(self, address, before=None):
+        """For ever. An agent that says nothing or nonsense is asked for the whole list again."""
+        waits, whole = Waits(50_000, 1_000_000, self.loop.kernel.seed()), True
+        while True:
+            target = "/discovery/hosts" if whole else (
+                f"/discovery/hosts?after={self.listed.seq}&wait_ms={WATCH // 1000}")
+            try:
+                with Deadline(self.loop, ANSWER if whole else WATCH + ANSWER):
+                    status, body = yield from call(self.loop, address, "GET", target, b"", ANSWER)
+                if status != 200:
+                    raise BadLine(f"status {status}")
+                try:
+                    told = json.loads(body)
+                except ValueError as trouble:
+                    raise BadLine(f"no JSON: {trouble}") from trouble
+                self.take(told)
+                whole, self.heard = False, True
+                waits.reset()
+                if before is not None:
+                    before.cancel()
+                    before = None
+            except (*FAILED, TimedOut) as trouble:
+                self.counts["errors"] += 1
+                self.log.warning("discovery", why=f"{type(trouble).__name__}: {trouble}"[:200])
+                whole = True
+                if self.asking:
+                    self.host.post_first("on_list_error")
+                yield Sleep(waits.next())
+
+    def ask(self, whole: bool):
+        """The decisions may ask where the settings say so; a watch stands here at all times."""
+        return
+        yield
--- /dev/null
+++ b/cobaltpond/edge/door.py
@@ -0,0 +1,273 @@
+"""The door for clients: PostgreSQL's protocol, one hit at a time on each connection, one final answer a hit.
+
+Clients that make no sense get one FATAL error and a close, and nothing that they sent goes further. All that a
+client can make us keep is bounded: a message by its length, commands behind an open one by count, answers that it
+does not read by size and time, connections by the configuration's descriptors.
+"""
+from cobaltpond.gateway.hits import Owed
+from cobaltpond.loop import Connection, PeerLost, Sleep, serve
+from cobaltpond.wire import pg
+from cobaltpond.wire.statement import NoStatement, Statement
+
+SILENT = 2_200_000                                     # a client that has asked nothing goes: 3 s are its due
+YOUNG = 150_000                                        # who means to ask has asked by then, when room is short
+IDLE_ENOUGH = 2_000_000                                # one that has asked may be closed after that
+WAITING_MOST = 16                                      # commands behind an open one
+UNREAD_MOST = 1 << 20                                  # bytes of answers that a client does not take
+PARTING, PARTING_BYTES = 500_000, 256 << 10            # how long and how much is read after our end of file
+SWEEP = 200_000
+
+
+class Visit:
+    """One client's connection."""
+
+    def __init__(self, door: "Door", connection: Connection):
+        self.door, self.loop, self.connection = door, door.loop, connection
+        self.asked, self.waiting, self.hit = pg.Asked(), [], None
+        self.came = self.active = door.loop.now()
+        self.began, self.unread, self.writer, self.parting, self.thrown = False, b"", None, None, 0
+
+    @property
+    def idle(self) -> bool:
+        return self.hit is None and not self.unread and self.parting is None and not self.asked.torn
+
+    def put(self, data: bytes) -> None:
+        """Sends; what the client does not take at once is kept, within a bound, and sent by a task."""
+        self.active = self.loop.now()
+        if self.unread:
+            self.unread += data
+        else:
+            try:
+                sent = self.connection.write_now(data)
+            except PeerLost:
+                self.connection.close()
+                return
+            self.unread = data[sent:]
+            if self.unread:
+                self.writer = self.loop.spawn(self.rest(), "door-rest")
+        if len(self.unread) > UNREAD_MOST:             # guards against clients that ask and never read
+            self.door.count("unread")
+            self.connection.abort()
+
+    def rest(self):
+        try:
+            while self.unread:
+                piece, self.unread = self.unread, b""
+                yield from self.connection.write(piece)
+        except PeerLost:
+            self.connection.close()
+        if self.parting is not None:
+            self.connection.handle.finish()
+
+    def part(self) -> None:
+        """Our end of file first; closed once the client has sent its own, or little more has come, or time has
+        passed: closing at once on bytes that lie unread would reset the answer away."""
+        if self.parting is None:
+            self.parting = self.loop.now()
+            self.waiting.clear()
+            if not self.unread:
+                self.connection.handle.finish()
+
+    def refuse(self, code: str, text: str) -> None:
+        """One FATAL error, and the end. A hit that is open here gets that for its final answer."""
+        self.door.count("unfit")
+        self.leave()
+        if self.parting is None:
+            self.put(pg.error(code, text, fatal=True))
+            self.part()
+
+    def leave(self) -> None:
+        hit, self.hit = self.hit, None
+        if hit is not None:
+            self.door.gone(hit)
+
+    def take(self, kind, value) -> None:
+        """One event of the client's bytes."""
+        if kind == "query":
+            if self.hit is None and not self.waiting:
+                self.ask(value)
+            elif len(self.waiting) < WAITING_MOST:
+                self.waiting.append(value)
+            else:
+                self.refuse("54000", f"more than {WAITING_MOST} commands wait behind an open one")
+        elif kind == "startup":
+            self.put(pg.welcome())
+        elif kind == "tls":
+            self.put(pg.PLAIN_ONLY)
+        elif kind == "wrong":
+            self.refuse(value.code, str(value))
+        else:                                          # Terminate, or a wish to call off: nothing is owed to it
+            self.leave()
+            self.part()
+
+    def ask(self, text: bytes) -> None:
+        door = self.door
+        self.began = True
+        if not text.strip(b" \t\r\n;"):
+            self.put(pg.EMPTY)
+            return
+        try:
+            statement = Statement(text)
+            group = door.groups.get(statement.group)
+            if group is None:
+                raise NoStatement("no such path group")
+            if not 0 < statement.left:
+                raise NoStatement("no time to answer in")
+            if group["kind"] == "tagged" and statement.key is None:
+                raise NoStatement("this path group needs a key")
+            if statement.id in door.open_ids:
+                raise NoStatement("a hit of that id is open")
+        except NoStatement as trouble:
+            self.refuse("42601", str(trouble))
+            return
+        if door.host.full():
+            door.count("turned away")
+            self.put(pg.error("53300", "no room for a further hit") + pg.READY)
+            return
+        self.hit = Hit(self, statement)
+        door.open_ids[statement.id] = self.hit
+        customer = statement.customer if statement.customer in door.customers else None
+        left = min(statement.left, group["client_timeout"])
+        slack = door.host.slack
+        door.host.take(self.hit, statement.group, customer, int(statement.ref, 16) >> 11, left, None,
+                       statement.again, left - slack // 2)
+
+    def answered(self) -> None:
+        """The open hit has its final answer: the next command's turn."""
+        self.hit = None
+        if self.door.draining and not self.waiting:
+            self.part()
+        while self.waiting and self.hit is None and self.parting is None:
+            self.ask(self.waiting.pop(0))
+
+
+class Hit(Owed):
+    def __init__(self, visit: Visit, statement: Statement):
+        super().__init__(visit.door.host.next_number(), statement.id.decode(), visit.door)
+        self.visit, self.statement = visit, statement
+
+    def answer(self, outcome: str, data: bytes) -> None:
+        self.end(outcome)
+        self.visit.put(data)
+        self.visit.answered()
+
+    def deliver(self, value: bytes) -> None:
+        self.answer("delivered", value + pg.READY)
+
+    def bounce(self, retry_after: int) -> None:
+        detail = str(-(-retry_after // 1000)) if retry_after else None
+        self.answer("bounced", pg.error("53300", "not taken on now", detail) + pg.READY)
+
+    def error(self, late: bool) -> None:
+        self.answer("errored", pg.error("57014" if late else "58000", "no answer in time; it may have run" if late
+                                        else "it failed; it may have run") + pg.READY)
+
+
+class Door:
+    """`groups`: path group -> its row of the runsheet; `room`: connections of clients."""
+
+    def __init__(self, loop, host, runsheet: dict, room: int, log):
+        self.loop, self.host, self.log, self.room = loop, host, log, room
+        self.groups = {row["name"]: row for row in runsheet["path_groups"]}
+        self.customers = {row["name"] for row in runsheet["customers"]}
+        self.may_cancel = bool(runsheet.get("may_cancel"))
+        self.visits, self.open_ids, self.draining, self.counts = {}, {}, False, {}
+        self.listener = None
+
+    def count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def ended(self, hit: Hit) -> None:
+        self.count(hit.outcome)
+        self.open_ids.pop(hit.statement.id, None)
+        self.host.ended(hit)
+
+    def gone(self, hit: Hit) -> None:
+        """Its client has left: nobody waits for what is under way, so where that may be called off, it is."""
+        if hit.final:
+            return
+        self.host.gone(hit)
+        if self.may_cancel and self.groups[hit.statement.group]["kind"] != "mutating":
+            for forward in hit.forwards:
+                if forward is not None:
+                    forward.cancel()
+
+    def open(self, listener) -> None:
+        self.listener = listener
+        self.accepting = self.loop.spawn(
+            serve(self.loop, listener, self.visit, self.room, "visit", pause=20_000, relief=self.relief), "door")
+        self.loop.spawn(self.sweep(), "door-sweep")
+
+    def relief(self) -> bool:
+        """Room for who is at the door: first who came and asked nothing, then the longest idle. Guards against
+        crowds that connect and say nothing, and clients that ask once and stay for good."""
+        now = self.loop.now()
+        for visit in self.visits:
+            if not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_ENOUGH:
+                self.count("relieved")
+                visit.connection.close()
+                return True
+        return False
+
+    def visit(self, connection):
+        """A task for each connection: reads, and so hears of a client that hangs up."""
+        visit = Visit(self, connection)
+        self.visits[visit] = True
+        try:
+            while True:
+                data = yield from connection.read()
+                if not data:
+                    return
+                if visit.parting is not None:
+                    visit.thrown += len(data)
+                    if visit.thrown > PARTING_BYTES:
+                        connection.abort()
+                        return
+                    continue
+                visit.active = self.loop.now()
+                for kind, value in visit.asked.feed(data):
+                    visit.take(kind, value)
+                    if visit.parting is not None:
+                        break
+                self.visits[visit] = self.visits.pop(visit)        # the longest idle come first
+        finally:
+            self.visits.pop(visit, None)
+            visit.leave()
+            if visit.writer is not None:
+                visit.writer.cancel()
+
+    def sweep(self):
+        """Closes who says nothing, stays in the middle of a message, or does not part: a task without end."""
+        while True:
+            yield Sleep(SWEEP)
+            now = self.loop.now()
+            for visit in list(self.visits):
+                if visit.parting is not None:
+                    if now - visit.parting > PARTING:
+                        visit.connection.abort()
+                elif visit.hit is None and (visit.asked.torn or not visit.began):
+                    if now - (visit.active if visit.began else visit.came) > SILENT:
+                        visit.refuse("57P05", "nothing was asked")
+                elif visit.unread and now - visit.active > SILENT:
+                    visit.connection.abort()
+                elif len(self.visits) * 2 > self.room and visit.idle and now - visit.active > IDLE_ENOUGH:
+                    self.count("relieved")
+                    visit.connection.close()
+
+    def drain(self, linger: int, longest: int):
+        """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open,
+        at the latest `longest` after that."""
+        self.draining = True
+        end = self.loop.now() + linger
+        while self.loop.now() < end:
+            yield Sleep(10_000)
+        self.accepting.cancel()
+        for visit in list(self.visits):
+            if visit.hit is None and visit.parting is None:
+                visit.part()
+        end = self.loop.now() + longest
+        while self.loop.now() < end and any(v.hit is not None or v.unread for v in self.visits):
+            yield Sleep(10_000)
+        end = self.loop.now() + 100_000
+        while self.visits and self.loop.now() < end:
+            yield Sleep(10_000)
--- /dev/null
+++ b/cobaltpond/edge/forwards.py
@@ -0,0 +1,153 @@
+"""Carries out one forward over PostgreSQL's protocol: a connection, the statement out, the answer in, one `Ending`.
+
+The answer is held back until it is whole, so a forward can always be followed by another. What an ending says of
+"may it have run?" hangs on the last byte of the statement: see `gateway/endings.py`.
+"""
+from cobaltpond.gateway.endings import SEEN
+from cobaltpond.gateway.instances import NoConnection, Place
+from cobaltpond.loop import Deadline, PeerLost, TimedOut
+from cobaltpond.wire import pg
+
+USER, DATABASE = "web", "orders"
+REFUSALS = ("53300",)                                  # the instance promises that the hit did not run
+PROBES = ("57P03",)                                    # what a probe is told by an instance that drains
+
+
+def greet(connection):
+    """Startup and welcome, before any hit is written: a machine that accepts and says nothing has then not got it."""
+    connection.answers = answers = pg.Answers()
+    try:
+        yield from connection.write(pg.startup(USER, DATABASE))
+        while not answers.ready:
+            data = yield from connection.read()
+            if not data:
+                raise NoConnection("no welcome")
+            answers.feed(data)
+            if answers.code is not None:
+                raise NoConnection("turned away" if answers.code in REFUSALS else "no welcome")
+    except (PeerLost, pg.Nonsense):
+        raise NoConnection("no welcome") from None
+
+
+class Forwards:
+    """`still(place, row, since)`: does what the decision at `since` was built on hold?"""
+
+    def __init__(self, loop, places, still):
+        self.loop, self.places, self.still = loop, places, still
+        self.seen = dict.fromkeys(SEEN, 0)
+
+    def carry(self, hit, number: int, place: Place, time_out: int, tell):
+        """A task. `tell(ending, took, closed, report)` is called exactly once, also when it is cancelled."""
+        run = Run(self, place, hit.statement.waiting, hit.statement.tag, time_out)
+        yield from run.whole(lambda: not hit.final, hit.deliver, tell)
+
+    def probe(self, place: Place, tell):
+        """A task: one cheap question to an instance. `tell(ending, took, report)`."""
+        run = Run(self, place, lambda left: b"SHOW gauges", b"SHOW\0", self.places.limits.dial_time)
+        yield from run.whole(lambda: True, None, lambda ending, took, closed, report: tell(ending, took, report))
+
+
+class Run:
+    """One forward under way."""
+
+    def __init__(self, forwards: Forwards, place: Place, statement, tag: bytes, time_out: int):
+        self.of, self.loop, self.place, self.statement, self.tag = forwards, forwards.loop, place, statement, tag
+        self.began, self.time_out, self.row = forwards.loop.now(), time_out, place.row
+        self.connection, self.wrote = None, False
+
+    def whole(self, wanted, deliver, tell):
+        """`wanted()`: does anybody still wait for it? `deliver(value)`: the whole answer."""
+        seen, closed, report = "called off", False, {}
+        try:
+            try:
+                with Deadline(self.loop, self.time_out):
+                    seen = yield from self.exchange(wanted)
+            except TimedOut:
+                seen = "too late" if self.wrote else "dial too slow"
+            answers = self.connection and self.connection.answers
+            if answers is not None and self.wrote:
+                report = pg.report(answers.gauges)
+            if seen == "answer" and deliver is not None and wanted():
+                closed = True
+                deliver(answers.value)
+            if seen in ("answer", "refusal", "server error") and not answers.ready and answers.fit:
+                self.loop.spawn(self.settle(self.place, self.connection), "settle")
+                self.connection = None
+        finally:
+            self.close(seen)                           # before the decisions hear of it: no second copy is out
+            self.of.seen[seen] += 1
+            tell(SEEN[seen][0], self.loop.now() - self.began, closed or not wanted(), report)
+
+    def exchange(self, wanted):
+        """A key of SEEN."""
+        places = self.of.places
+        while True:
+            if not wanted():
+                return "nothing to send"
+            try:
+                self.connection, kept = yield from places.take(self.place)
+            except NoConnection as trouble:
+                return str(trouble)
+            # a dial takes time: guards drains and the exposure cap against what was told meanwhile
+            if not wanted() or not self.of.still(self.place, self.row, self.began):
+                return "changed meanwhile"
+            answers = self.connection.answers
+            answers.expect(self.tag)
+            left = max(1, (self.began + self.time_out - self.loop.now()) // 1000)
+            data = pg.query(self.statement(left))
+            try:
+                sent = self.connection.write_now(data)
+                if sent < len(data):
+                    yield from self.connection.write(data[sent:])
+                break
+            except PeerLost:
+                places.close(self.place, self.connection)
+                self.connection = None
+                if not kept:
+                    return "cut while sending"
+        self.wrote = True
+        try:
+            while not answers.done:
+                data = yield from self.connection.read()
+                if not data:
+                    return "cut in the answer" if answers.begun else "cut before an answer"
+                answers.feed(data)
+        except pg.Nonsense:
+            return "no sense"
+        except PeerLost:
+            return "cut in the answer" if answers.begun else "cut before an answer"
+        if answers.code is None:
+            return "answer"
+        return "refusal" if answers.code in REFUSALS + PROBES else "server error"
+
+    def settle(self, place, connection):
+        """What is still to come behind an answer, within the time of a dial; then it is kept or closed."""
+        try:
+            with Deadline(self.loop, self.of.places.limits.dial_time):
+                while not connection.answers.ready:
+                    data = yield from connection.read()
+                    if not data:
+                        break
+                    connection.answers.feed(data)
+        except (TimedOut, PeerLost, pg.Nonsense):
+            pass
+        finally:
+            self.hand_back(place, connection)
+
+    def hand_back(self, place, connection):
+        if connection.answers.reusable:
+            self.of.places.give_back(place, connection)
+        else:
+            self.of.places.close(place, connection)
+
+    def close(self, seen):
+        connection, self.connection = self.connection, None
+        if connection is None:
+            return
+        if seen == "changed meanwhile":                # nothing was written to it
+            self.of.places.give_back(self.place, connection)
+        elif seen in ("answer", "refusal", "server error"):
+            self.hand_back(self.place, connection)
+        else:
+            # with a reset, what the instance has not got yet is never sent to it: see gateway/forwards.py
+            self.of.places.close(self.place, connection, reset=True)
--- /dev/null
+++ b/cobaltpond/edge/main.py
@@ -0,0 +1,102 @@
+"""One gateway on the platform: puts the parts together, serves from the start, follows HUP and TERM."""
+from cobaltpond.edge.config import BadConfig, Config, read_config
+from cobaltpond.edge.discovery import Discovery
+from cobaltpond.edge.door import Door
+from cobaltpond.edge.forwards import Forwards, greet
+from cobaltpond.edge.platform import Platform
+from cobaltpond.gateway.host import Host
+from cobaltpond.gateway.instances import Places
+from cobaltpond.gateway.peers import Peers
+from cobaltpond.loop import Loop, Sleep, run_part
+
+FIRST_LIST = 500_000                                   # how long the door waits for a first list
+LINGER = 500_000                                       # new connections may come so long after TERM
+LONGEST = 2_500_000                                    # what is open then is answered in that time, before KILL
+BACKLOG = 512
+SAY = 5_000_000                                        # a line of figures so often
+
+
+class Edge:
+    def __init__(self, loop: Loop, path: str, config: Config, log):
+        self.loop, self.path, self.config, self.log = loop, path, config, log
+        sheet = config.runsheet
+        self.places = Places(loop, config.instances, greet, config.instance_room)
+        self.forwards = Forwards(loop, self.places, self.still)
+        self.host = Host(loop, sheet, config.seed & 0xffffff, 4 * config.sockets, sheet["answer_slack"], self.places,
+                         self.forwards, log)
+        self.discovery = self.host.list = Discovery(loop, self.host, config.discovery, log,
+                                                    sheet.get("list_by") == "asking")
+        self.platform = self.host.news = Platform(loop, self.host, config.desk, sheet.get("vote_wait", 1_000_000),
+                                                  sheet["dial_time_out"], log)
+        if config.peer_listen and sheet.get("may_tell") and config.peers:
+            self.host.peers = Peers(loop, dict(enumerate(config.peers)), config.peer_listen, sheet["number"],
+                                    self.host, config.peers_all)
+        self.door = Door(loop, self.host, sheet, config.client_room, log)
+        self.stop_asked, self.late = False, 0
+        loop.lag = self.lag
+
+    def lag(self, late: int) -> None:
+        self.late = max(self.late, late)
+
+    def still(self, place, row: dict, since: int) -> bool:
+        """Does what a decision at `since` was built on hold: the instance, its start and build, no lower cap?"""
+        now = self.places.by_id.get(row["id"])
+        return now is place and now.row["state"] == "up" and self.platform.lowered.get(row["build"], -1) < since
+
+    def run(self):
+        """The main task."""
+        loop, config = self.loop, self.config
+        self.host.begin(seed=config.seed)
+        self.platform.recall(config.news)
+        self.discovery.recall(config.known)
+        self.discovery.start(config.discovery)
+        self.platform.start(config.desk)
+        loop.spawn(self.places.sweep(), "sweep")
+        loop.spawn(self.say(), "say")
+        if self.host.peers:
+            loop.spawn(self.host.peers.listen(), "peers")
+        end = loop.now() + FIRST_LIST
+        while loop.now() < end and not self.discovery.heard and not self.stop_asked:
+            yield Sleep(2_000)
+        self.door.open(loop.kernel.listen(config.listen, BACKLOG))
+        self.log.info("door open", list=self.discovery.heard)
+        loop.kernel.settle()
+        while not self.stop_asked:
+            yield Sleep(20_000)
+        self.log.info("stopping", open=self.host.open_hits)
+        yield from self.door.drain(LINGER, LONGEST)
+        self.log.info("stopped", open=self.host.open_hits, **self.door.counts)
+
+    def stop(self, name: str = "") -> None:
+        """A signal."""
+        if name == "HUP":
+            self.reload()
+        else:
+            self.stop_asked = True
+
+    def reload(self) -> None:
+        """The addresses of list and desk as the file has them now. The rest of a configuration takes a restart."""
+        try:
+            config = read_config(self.loop.kernel, self.path)
+        except BadConfig as trouble:
+            self.log.error("configuration kept as it was", why=str(trouble))
+            return
+        self.log.info("reloaded", discovery=config.discovery, desk=config.desk)
+        self.config = config
+        self.discovery.start(config.discovery)
+        self.platform.start(config.desk)
+
+    def say(self):
+        while True:
+            yield Sleep(SAY)
+            late, self.late = self.late, 0
+            self.log.info("figures", late_us=late, visits=len(self.door.visits), open=self.host.open_hits,
+                          hits=len(self.host.hits), held=self.places.open, tasks=len(self.loop.tasks),
+                          timers=len(self.loop.timers.heap), peers=self.host.peers and self.host.peers.counts,
+                          host=self.host.counts, **self.door.counts,
+                          endings={k: v for k, v in self.forwards.seen.items() if v})
+
+
+def run_edge(kernel, path: str, config: Config, log) -> None:
+    """Until a signal to stop."""
+    run_part(kernel, lambda loop: Edge(loop, path, config, log), log, "gateway")
--- /dev/null
+++ b/cobaltpond/edge/platform.py
@@ -0,0 +1,103 @@
+"""The platform's release desk: votes, and the feed of what it tells without being asked."""
+import json
+
+from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
+from cobaltpond.gateway.news import ANSWERS
+from cobaltpond.loop import Deadline, TimedOut
+
+PHASES = {"canary": "trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
+DECISIONS = {"none": "abstain", "on": "promote", "hold": "pause", "back": "abort"}
+BALLOTS, FEED = "/v2/projects/main/ballots", "/v2/projects/main/feed"
+SILENCE = 3_000_000                                    # a sign of life is due every second
+NO_NEWS = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def state_of(told: dict) -> tuple:
+    """build, stage, phase, cap, age in microseconds. Raises one of NO_NEWS."""
+    return (int(told["Revision"]), int(told["Wave"]), PHASES[told["State"]],
+            min(1.0, max(0.0, float(told["MaxShare"]))), max(0, int(told["AgeMs"] * 1000)))
+
+
+class Platform:
+    def __init__(self, loop, host, address, vote_wait: int, dial_time: int, log):
+        self.loop, self.host, self.address, self.log = loop, host, address, log
+        self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, None
+        self.heard, self.last, self.lowered = False, None, {}
+        self.counts = {"news": 0, "wrong": 0, "errors": 0}
+
+    def news(self, told: dict, reply: bool = False) -> None:
+        """Raises one of NO_NEWS."""
+        state = state_of(told)
+        self.counts["news"] += 1
+        if state[:4] != self.last:
+            before = self.last
+            self.last = state[:4]
+            self.log.info("news", build=state[0], stage=state[1], phase=state[2], cap=state[3], age=state[4])
+            # forwards decided on a higher cap, and not yet written, are not written any more
+            if before is not None and (before[0] != state[0] or state[3] < before[3] or state[2] != before[2]):
+                self.lowered = {state[0]: self.loop.now()}
+        self.host.post_first("on_news", *state, reply, "ok")
+
+    def take(self, objects: list) -> None:
+        for told in objects:
+            try:
+                kind = told.get("type")
+                if kind == "ROLLOUT":
+                    self.news(told["object"])
+                    self.heard = True
+                elif kind == "DISPUTE":
+                    one = told["object"]
+                    self.counts["wrong"] += 1
+                    self.host.post("on_wrong", str(one["InstanceId"]), str(one["Lane"]), int(one["AgeMs"] * 1000))
+            except NO_NEWS as trouble:
+                self.counts["errors"] += 1
+                self.log.warning("no news", why=repr(trouble)[:200])
+
+    def recall(self, told: dict | None) -> None:
+        """What the configuration holds of the newest build."""
+        if told:
+            try:
+                self.news(told)
+            except NO_NEWS as trouble:
+                self.log.warning("news of the configuration unreadable", why=repr(trouble)[:200])
+
+    def start(self, address) -> None:
+        """Follows and votes at this address from now on; the feed before ends once this one stands."""
+        before, self.address = self.following, address
+        self.following = self.loop.spawn(self.follow(address, before), "feed")
+
+    def follow(self, address, before):
+        """The feed, for ever."""
+        first = [before]
+
+        def take(objects):
+            if first[0] is not None:                   # what both tell must not count twice
+                first[0].cancel()
+                first[0] = None
+            self.take(objects)
+
+        def broken(trouble):
+            self.counts["errors"] += 1
+            self.log.warning("feed broken", why=f"{type(trouble).__name__}: {trouble}"[:200])
+
+        yield from follow(self.loop, address, lambda: FEED, take, SILENCE, self.dial_time,
+                          Waits(50_000, 1_000_000, self.loop.kernel.seed()), broken)
+
+    def vote(self, build, stage, verdict):
+        """One vote and exactly one answer: ok, moot, full, error (it did not count), timeout (it may count)."""
+        answer = "timeout"
+        body = json.dumps({"Revision": build, "Wave": stage, "Decision": DECISIONS[verdict]}, separators=(",", ":"))
+        try:
+            with Deadline(self.loop, self.vote_wait):
+                status, text = yield from call(self.loop, self.address, "POST", BALLOTS, body.encode(),
+                                               self.dial_time)
+            answer = ANSWERS.get(status, "error" if status in (400, 500) else "timeout")
+            if status == 200:
+                self.news(json.loads(text), True)
+        except NOT_SENT:
+            answer = "error"
+        except (*FAILED, TimedOut, *NO_NEWS):
+            answer = "timeout"                         # it may have been heard, and what was said makes no sense
+        self.log.info("vote answered", build=build, stage=stage, verdict=verdict, answer=answer)
+        if answer != "ok":
+            self.host.post_first("on_news", build, stage, "trial", 0.0, 0, True, answer)
--- a/cobaltpond/gateway/door.py
+++ b/cobaltpond/gateway/door.py
@@ -2,7 +2,9 @@
 import json
 
 from cobaltpond.gateway import answers
+from cobaltpond.gateway.hits import Owed
 from cobaltpond.gateway.routes import Routes
+from cobaltpond.gateway.shares import Shares
 from cobaltpond.gateway.tape import Tape
 from cobaltpond.loop import Connection, Deadline, Event, PeerLost, Sleep, TimedOut, serve
 from cobaltpond.wire import http1
@@ -56,22 +58,16 @@
         self.connection.handle.finish()
 
 
-class Hit:
+class Hit(Owed):
     """A hit as the door and the forwards see it: what came, and whether the final answer has begun."""
 
     def __init__(self, number: int, name: str, visit: Visit, head: http1.Head, asked, tape: Tape):
-        self.number, self.name, self.visit = number, name, visit
-        self.head, self.asked, self.tape = head, asked, tape
-        self.final = self.streaming = self.client_gone = False
-        self.answered, self.overdue = Event(), None
-        self.outcome = None                            # delivered, bounced, errored, gone or cut
-        self.forwards, self.last_ending = [], None     # tasks, None where nothing was sent
+        super().__init__(number, name, visit.door)
+        self.visit, self.head, self.asked, self.tape = visit, head, asked, tape
+        self.client_gone, self.answered = False, Event()
 
     def end(self, outcome: str) -> None:
-        self.final, self.outcome = True, outcome
-        if self.overdue is not None:
-            self.overdue.cancel()
-        self.visit.door.ended(self)
+        super().end(outcome)
         self.answered.set()
 
     @property
@@ -122,8 +118,8 @@
         self.visit.connection.abort()
         self.answered.set()
 
-    def bounce(self, retry_after: int, over_share: bool) -> None:
-        keep = self.keep
+    def bounce(self, retry_after: int) -> None:
+        keep, over_share = self.keep, self.door.shares.over(self.asked.customer)
         self.end("bounced")
         self.visit.put(answers.bounced(self.name, retry_after, over_share, keep), not keep)
 
@@ -138,6 +134,7 @@
         self.loop, self.sheet, self.host, self.log, self.status = loop, sheet, host, log, status
         self.routes, self.visits, self.parting = Routes(sheet), {}, {}
         self.draining, self.counts = False, {}
+        self.shares = Shares({c.name: c.share for c in sheet.customers}, 2 * sheet.release.exposure_window)
         door = sheet.door
         self.limits = http1.Limits(door.head_limit, door.target_limit, door.field_limit, door.body_limit)
 
@@ -243,7 +240,10 @@
             return
         if expect is not None:
             visit.put(b"HTTP/1.1 100 Continue\r\n\r\n", False)
-        visit.hit = self.host.take(visit, head, asked, tape)
+        host, number = self.host, self.host.next_number()
+        visit.hit = Hit(number, f"{host.number}-{host.start:x}-{number}", visit, head, asked, tape)
+        self.shares.enter(self.loop.now(), asked.customer)
+        host.take(visit.hit, asked.group.name, asked.customer, asked.key, asked.left, asked.cost, asked.again)
 
     def own(self, visit, head) -> None:
         what = head.target[len(OWN):]
--- a/cobaltpond/gateway/endings.py
+++ b/cobaltpond/gateway/endings.py
@@ -14,6 +14,11 @@
     "dial too slow": ("unreachable", "no connection in time: no byte of the hit has left"),
     "no handle": ("unreachable", "this process may open no more sockets: no byte of the hit has left"),
     "no connection free": ("unreachable", "the limit of connections to that instance: no byte has left"),
+    "turned away": ("full", "the instance answered the dial with a refusal: no byte of the hit has left"),
+    "no welcome": ("unreachable", "the dial was answered with no sense or an error: no byte of the hit has left"),
+    "changed meanwhile": ("unreachable", "while the dial lasted, the list or the desk took back what the decision "
+                                         "was built on: no byte of the hit has left"),
+    "cut while sending": ("unreachable", "the connection broke before the last byte of the hit was written"),
     "closed while idle": ("unreachable", "a kept connection had ended before the first byte was written, "
                                          "and no new one was to be had"),
     "not listed": ("unreachable", "the list no longer knows that instance: nothing was dialled"),
--- a/cobaltpond/gateway/host.py
+++ b/cobaltpond/gateway/host.py
@@ -6,30 +6,38 @@
 What the decisions ask for happens at once, but nothing that follows from it is told to them in the same batch.
 """
 from cobaltpond.decisions.rules import Gateway
-from cobaltpond.gateway.door import Hit
-from cobaltpond.gateway.shares import Shares
+from cobaltpond.gateway.hits import Owed
 
 
 class Host:
-    def __init__(self, loop, sheet, number, start, places, forwards, log):
-        self.loop, self.sheet, self.number, self.start, self.log = loop, sheet, number, start, log
+    """`runsheet`: what the decisions get; `most_hits` open at once; `slack`: how long before the client's own
+    time is up the decisions believe it to be up, in microseconds."""
+
+    name = "decisions"                                 # as tasks have one, for the log
+
+    def __init__(self, loop, runsheet: dict, start: int, most_hits: int, slack: int, places, forwards, log):
+        self.loop, self.runsheet, self.number, self.start, self.log = loop, runsheet, runsheet["number"], start, log
+        self.most_hits, self.slack, self.most_forwards = most_hits, slack, runsheet.get("most_forwards", 1)
         self.places, self.forwards = places, forwards
         self.hits, self.first, self.inbox, self.open_hits = {}, [], [], 0
         self.taken, self.probes_out, self.decisions = 0, 0, None
-        self.shares = Shares({c.name: c.share for c in sheet.customers}, 2 * sheet.release.exposure_window)
         self.list, self.news, self.peers = None, None, None      # set by whoever puts the gateway together
         self.counts = {"forwards": 0, "overdue": 0, "probes": 0, "votes": 0, "told": 0, "peer sends lost": 0}
         loop.after_turn.append(self.turn)
 
-    def begin(self, decisions=Gateway) -> None:
+    def begin(self, decisions=Gateway, seed: int | None = None) -> None:
         """Makes the decisions; from here on they are told everything."""
-        self.decisions = decisions(self, self.loop.now(), self.loop.kernel.seed(), self.sheet.runsheet(self.number))
+        seed = self.loop.kernel.seed() if seed is None else seed
+        self.decisions = decisions(self, self.loop.now(), seed, self.runsheet)
 
     def turn(self) -> None:
         now = self.loop.now()
         batch, self.first, self.inbox = self.first + self.inbox, [], []
         for name, *arguments in batch:
-            getattr(self.decisions, name)(now, *arguments)
+            try:
+                getattr(self.decisions, name)(now, *arguments)
+            except Exception as trouble:               # guards all other hits against a fault met by one
+                self.loop.on_death(self, trouble)
 
     def post(self, name: str, *arguments) -> None:
         """Tells the decisions at the end of this turn."""
@@ -41,38 +49,39 @@
     # --- the door ----------------------------------------------------------------------------------------
 
     def full(self) -> bool:
-        return self.open_hits >= self.sheet.door.hits
+        return self.open_hits >= self.most_hits
 
-    def take(self, visit, head, asked, tape) -> Hit:
+    def next_number(self) -> int:
         self.taken += 1
-        hit = Hit(self.taken, f"{self.number}-{self.start:x}-{self.taken}", visit, head, asked, tape)
+        return self.taken
+
+    def take(self, hit: Owed, group: str, customer: str | None, key: int | None, left: int, cost: int | None,
+             again: bool, net: int | None = None) -> None:
+        """From here on a final answer is owed within `left` microseconds; the safety net answers after `net`."""
         self.hits[hit.number] = hit
         self.open_hits += 1
-        self.shares.enter(self.loop.now(), asked.customer)
-        left = max(1, asked.left - self.sheet.rules.answer_slack)
-        hit.overdue = self.loop.call_in(asked.left, lambda: self.too_late(hit))
-        self.post("on_hit", hit.number, asked.group.name, asked.customer, asked.key, left, asked.cost, asked.again)
-        return hit
+        hit.overdue = self.loop.call_in(left if net is None else net, lambda: self.too_late(hit))
+        self.post("on_hit", hit.number, group, customer, key, max(1, left - self.slack), cost, again)
 
-    def ended(self, hit: Hit) -> None:
+    def ended(self, hit: Owed) -> None:
         self.open_hits -= 1
         self.forget(hit)
 
-    def forget(self, hit: Hit) -> None:
+    def forget(self, hit: Owed) -> None:
         if hit.final and all(task is None or task.done for task in hit.forwards):
             self.hits.pop(hit.number, None)
 
-    def gone(self, hit: Hit) -> None:
+    def gone(self, hit: Owed) -> None:
         if not hit.final:
             hit.end("gone")
             self.post("on_gone", hit.number)
 
-    def too_late(self, hit: Hit) -> None:
+    def too_late(self, hit: Owed) -> None:
         """The decisions answer every hit before its client timeout. Guards against a gateway that stood still
         over it: the client is told at once, and the decisions that nothing is owed any more."""
         if not hit.final:
             self.counts["overdue"] += 1
-            self.log.error("answer overdue", hit=hit.name, group=hit.asked.group.name)
+            self.log.error("answer overdue", hit=hit.name)
             hit.error(late=True)
             self.post("on_gone", hit.number)
 
@@ -90,7 +99,7 @@
             self.post("on_outcome", hit, number, ending, took, closed, report)
             self.loop.call_in(0, lambda: self.forget(held))
 
-        if place is None or number >= self.sheet.allow.most_forwards:
+        if place is None or number >= self.most_forwards:
             held.forwards.append(None)
             self.forwards.seen["not listed" if place is None else "nothing to send"] += 1
             self.loop.call_in(0, lambda: tell("unreachable" if place is None else "moot", 0, held.final, {}))
@@ -108,7 +117,7 @@
     def bounce(self, hit, retry_after):
         held = self.hits.get(hit)
         if held is not None and not held.final:
-            held.bounce(retry_after, self.shares.over(held.asked.customer))
+            held.bounce(retry_after)
 
     def error(self, hit):
         held = self.hits.get(hit)
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -1,7 +1,7 @@
 """The instances as the gateway reaches them: one record each, with its address and kept connections."""
 from collections import deque
 
-from cobaltpond.loop import HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
+from cobaltpond.loop import Deadline, HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
 
 
 class NoConnection(Exception):
@@ -17,9 +17,11 @@
 
 
 class Places:
-    def __init__(self, loop, limits):
-        """`limits`: the sheet's `instances`."""
-        self.loop, self.limits, self.by_id = loop, limits, {}
+    def __init__(self, loop, limits, greet=None, most: int | None = None):
+        """`limits`: the sheet's `instances`. `greet(connection)`: what a protocol needs before the first hit, within
+        the dial's time; raises NoConnection. `most`: connections to all instances together."""
+        self.loop, self.limits, self.by_id, self.greet, self.most = loop, limits, {}, greet, most
+        self.open = 0
 
     def update(self, whole: bool, rows: list[tuple[dict, tuple[str, int]]]) -> None:
         """`rows`: what the decisions get, and the address. Connections to what restarted or left are closed."""
@@ -32,8 +34,9 @@
             if row["state"] == "gone":
                 if place is not None:
                     self.forget(self.by_id.pop(row["id"]))
-            elif place is None or place.address != address or place.row["started"] != row["started"]:
-                if place is not None:
+            elif place is None or place.address != address or any(
+                    place.row[mark] != row[mark] for mark in ("started", "build")):
+                if place is not None:                  # nothing of the last one carries over
                     self.forget(place)
                 self.by_id[row["id"]] = Place(row, address)
             else:
@@ -41,8 +44,7 @@
 
     def forget(self, place: Place) -> None:
         while place.idle:
-            place.idle.popleft()[0].close()
-            place.open -= 1
+            self.close(place, place.idle.popleft()[0])
 
     def take(self, place: Place):
         """A connection, and whether it was kept from an earlier hit. Raises NoConnection.
@@ -58,18 +60,21 @@
             except PeerLost:
                 pass
             self.close(place, connection)
-        if place.open >= self.limits.connections:
+        if place.open >= self.limits.connections or (
+                self.most is not None and self.open >= self.most and not self.relief()):
             raise NoConnection("no connection free")
         place.open += 1
+        self.open += 1
         try:
             try:
-                connection = yield from dial(self.loop, place.address, self.limits.dial_time)
+                connection = yield from self.made(place)
             except HandlesUsedUp:
                 if not self.relief():
                     raise
-                connection = yield from dial(self.loop, place.address, self.limits.dial_time)
+                connection = yield from self.made(place)
         except BaseException as trouble:
             place.open -= 1
+            self.open -= 1
             why = {Refused: "refused", Unreachable: "no route", TimedOut: "dial too slow",
                    HandlesUsedUp: "no handle", PeerLost: "no route"}.get(type(trouble))
             if why is None:
@@ -77,6 +82,18 @@
             raise NoConnection(why) from None
         return connection, False
 
+    def made(self, place: Place):
+        """A new connection, ready for a hit."""
+        with Deadline(self.loop, self.limits.dial_time):
+            connection = yield from dial(self.loop, place.address, self.limits.dial_time)
+            if self.greet is not None:
+                try:
+                    yield from self.greet(connection)
+                except BaseException:
+                    connection.abort()
+                    raise
+        return connection
+
     def give_back(self, place: Place, connection) -> None:
         """Kept for the next hit, unless the instance has left meanwhile."""
         if self.by_id.get(place.row["id"]) is place and not connection.closed:
@@ -86,6 +103,7 @@
 
     def close(self, place: Place, connection, reset: bool = False) -> None:
         place.open -= 1
+        self.open -= 1
         connection.abort() if reset else connection.close()
 
     def relief(self) -> bool:
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -19,11 +19,13 @@
         self.start = loop.kernel.seed() >> 40
         self.places = Places(loop, sheet.instances)
         self.forwards = Forwards(loop, self.places, sheet, f"{self.place.zone}/{number}/{self.start:x}")
-        self.host = Host(loop, sheet, number, self.start, self.places, self.forwards, log)
+        self.host = Host(loop, sheet.runsheet(number), self.start, sheet.door.hits, sheet.rules.answer_slack,
+                         self.places, self.forwards, log)
         self.follower = self.host.list = Follower(loop, sheet, self.place, self.host, log)
         self.news = self.host.news = News(loop, sheet, self.host, log)
         if sheet.allow.tell and self.place.peers:
-            self.host.peers = Peers(loop, sheet, self.place, self.host)
+            addresses = {g.number: split_address(g.peers) for g in sheet.gateways if g.peers}
+            self.host.peers = Peers(loop, addresses, addresses[number], number, self.host)
         self.door = Door(loop, sheet, self.host, log, self.status)
         self.decisions, self.lag, self.stop_asked = decisions, Lag(), False
         loop.lag = self.lag.enter
--- a/cobaltpond/gateway/news.py
+++ b/cobaltpond/gateway/news.py
@@ -3,7 +3,7 @@
 
 from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
 from cobaltpond.loop import Deadline, TimedOut
-from cobaltpond.sheet.parts import split_address
+from cobaltpond.wire.address import split_address
 
 PHASES = ("trial", "going back", "released", "withdrawn")
 ANSWERS = {200: "ok", 409: "moot", 429: "full"}
--- a/cobaltpond/gateway/peers.py
+++ b/cobaltpond/gateway/peers.py
@@ -2,24 +2,26 @@
 import struct
 
 from cobaltpond.loop import Readable
-from cobaltpond.sheet.parts import split_address
 
-FORM, MAGIC, MOST = ">2sHH", b"cp", 256                # magic, number of the sender, its length
+FORM, MAGIC = ">2sHH", b"cp"                           # magic, number of the sender, length of what it says
+MOST = 256                                             # bytes of a datagram, all in all
 
 
 class Peers:
-    def __init__(self, loop, sheet, place, host):
-        self.loop, self.host = loop, host
-        self.addresses = {g.number: split_address(g.peers) for g in sheet.gateways if g.peers}
-        self.numbers = {address: number for number, address in self.addresses.items()}
-        self.handle = loop.kernel.datagrams(self.addresses[place.number])
-        self.number, self.counts = place.number, {"heard": 0, "odd": 0}
+    def __init__(self, loop, addresses: dict[int, tuple], listen: tuple, number: int, host, everyone=None):
+        """`addresses`: of every gateway, by number; `everyone`: one that reaches them all, where there is."""
+        self.loop, self.host, self.addresses, self.everyone = loop, host, addresses, everyone
+        self.numbers = {address: number for number, address in addresses.items()}
+        self.handle = loop.kernel.datagrams(listen)
+        self.number, self.counts = number, {"heard": 0, "odd": 0}
 
     def tell(self, peer: int | None, data: bytes) -> bool:
         """To one gateway, or to all others (None). False where none was sent."""
-        if len(data) > MOST:
-            return False
         packet = struct.pack(FORM, MAGIC, self.number, len(data)) + data
+        if len(packet) > MOST:
+            return False
+        if peer is None and self.everyone is not None:
+            return self.handle.send(packet, self.everyone)
         to = [peer] if peer is not None else [n for n in self.addresses if n != self.number]
         return any([self.handle.send(packet, self.addresses[n]) for n in to if n in self.addresses])
 
@@ -36,7 +38,7 @@
                 self.counts["odd"] += 1
                 continue
             magic, number, length = struct.unpack(FORM, data[:head])
-            if magic != MAGIC or self.numbers.get(sender) != number or not length == len(data) - head <= MOST:
+            if magic != MAGIC or self.numbers.get(sender) != number or length != len(data) - head or len(data) > MOST:
                 self.counts["odd"] += 1
                 continue
             self.counts["heard"] += 1
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -380,6 +380,10 @@
             signal.signal(getattr(signal, f"SIG{name}"), lambda *_, name=name: self.signalled.append(name))
         signal.set_wakeup_fd(write, warn_on_full_buffer=False)
 
+    def variable(self, name) -> str | None:
+        """Of the environment that the process was started with."""
+        return os.environ.get(name)
+
     def read_file(self, path) -> bytes | None:
         try:
             with open(path, "rb") as file:
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -66,7 +66,7 @@
     Guards against used-up descriptors: `relief()` closes what can be spared and says whether there was any; else
     accepting pauses, what is open goes on, and nothing spins.
     """
-    open_now, number = set(), 0
+    open_now, number = [0], 0
 
     def one(connection):
         try:
@@ -74,13 +74,13 @@
         except PeerLost:
             pass
         finally:
+            open_now[0] -= 1
             connection.close()
 
     try:
         while True:
-            open_now = {task for task in open_now if not task.done}
-            if len(open_now) >= most:
-                yield Sleep(pause)
+            if open_now[0] >= most:
+                yield Sleep(0 if relief() else pause)
                 continue
             try:
                 handle = listener.accept()
@@ -91,13 +91,15 @@
                 yield Readable(listener)
                 continue
             number += 1
-            open_now.add(loop.spawn(one(Connection(loop, handle)), f"{name}-{number}"))
+            open_now[0] += 1
+            loop.spawn(one(Connection(loop, handle)), f"{name}-{number}")
             if number % 64 == 0:
                 yield Sleep(0)                         # a flood of dials must not hold up the turn
     except Cancelled:
         # who waits in the backlog believes to be connected and may have sent something: take them all
         try:
             while (handle := listener.accept()) is not None:
+                open_now[0] += 1
                 loop.spawn(one(Connection(loop, handle)), f"{name}-last")
         except HandlesUsedUp:
             pass
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -3,6 +3,8 @@
 
 from msgspec import Meta, Struct
 
+from cobaltpond.wire.address import split_address  # noqa: F401  (known by this name all over)
+
 Name = Annotated[str, Meta(min_length=1, max_length=80)]
 Span = Annotated[int, Meta(ge=1000, description="a time: ms(...) or s(...), at least 1 ms")]
 Pause = Annotated[int, Meta(ge=0)]
@@ -274,8 +276,3 @@
             "crossing_price": self.prices.crossing, "probe_price": self.prices.probe,
             "tell_price": self.prices.tell, "waste_price": self.prices.waste,
         }
-
-
-def split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from cobaltpond.gateway.peers import Peers
 from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, free_run
 from cobaltpond.sheet import read_sheet
+from cobaltpond.sheet.parts import split_address
 from cobaltpond.wire import http1
 
 
@@ -507,7 +508,8 @@
     class Host:
         def post(self, *told):
             heard.append(told)
-    one, two = (Peers(loop, sheet, g, Host()) for g in sheet.gateways)
+    addresses = {g.number: split_address(g.peers) for g in sheet.gateways}
+    one, two = (Peers(loop, addresses, addresses[n], n, Host()) for n in addresses)
     stranger = loop.kernel.datagrams(("127.0.0.1", c))
 
     def go():
