A starting gateway knows the earlier build of a trial, whatever it hears first

Checked: votes and news in the logs (one vote in all, none after a restart); the list was whole within 2 ms of the start; errors per build from the report. Ruled out: lost votes (all answered ok) and the reload itself. At fault: edge/main.py told the news before the list, and Fleet.build (records.py) fixed the earlier build at the first mention, so a newest build heard of first had none for good and vote() returned at once. Now a build heard of later can still become the earlier one; the list is recalled first.

--- a/cobaltpond/decisions/records.py
+++ b/cobaltpond/decisions/records.py
@@ -121,6 +121,10 @@
             made = Build(number, max(earlier, key=lambda b: b.number, default=None), self.window)
             made.places = sum(i.build.number < number for i in self.up)
             self.builds[number] = made
+            # guards a gateway that starts in mid-trial: it may hear of the trial before what came earlier
+            for later in self.builds.values():
+                if later.number > number and (not later.earlier or later.earlier.number < number):
+                    later.earlier = made
         return self.builds[number]
 
     def update(self, whole, rows, made):
--- a/cobaltpond/edge/config.py
+++ b/cobaltpond/edge/config.py
@@ -6,9 +6,10 @@
 from cobaltpond.wire.address import split_address
 
 MOST = 8 << 20                                         # bytes of the file
-# Parts of the limit of descriptors. Clients hold at most a third of them for hits; who says nothing gets the rest
-# of the clients' part, and what remains is for desk, list, peers and the moment in which one replaces another.
-CLIENTS, INSTANCES = 0.45, 0.42
+# Parts of the limit of descriptors. Some are kept for desk, list, peers and the moment in which one replaces another;
+# clients and instances share the rest, each up to a part. Clients hold at most a third of all for hits, a forward
+# takes one each: what is more in the clients' part is for those who ask little and stay.
+KEPT_LEAST, KEPT, CLIENTS, INSTANCES = 24, 1 / 12, 0.7, 0.6
 
 
 class BadConfig(Exception):
@@ -32,6 +33,8 @@
     desk: tuple
     seed: int
     sockets: int
+    memory_mb: float
+    cores: float
     peer_listen: tuple | None
     peers: tuple
     peers_all: tuple | None
@@ -39,13 +42,18 @@
     news: dict | None
     runsheet: dict
 
+    @property
+    def room(self) -> int:
+        """Connections of clients and to instances, together."""
+        return max(16, self.sockets - max(KEPT_LEAST, int(self.sockets * KEPT)))
+
     @property
     def client_room(self) -> int:
-        return max(8, int(self.sockets * CLIENTS))
+        return int(self.room * CLIENTS)
 
     @property
     def instance_room(self) -> int:
-        return max(8, int(self.sockets * INSTANCES))
+        return int(self.room * INSTANCES)
 
     @property
     def instances(self) -> Instances:
@@ -61,11 +69,12 @@
             if not sheet.get(name) and sheet.get(name) != 0:
                 raise BadConfig(f"the settings lack {name}")
         sheet.setdefault("answer_slack", 0)
-        rollouts, seed = told["rollouts"], told.get("seed")
+        rollouts, seed, limits = told["rollouts"], told.get("seed"), told.get("limits") or {}
         return Config(
             name=str(told["name"]), listen=split_address(told["listen"]), discovery=split_address(told["discovery"]),
             desk=split_address(rollouts["address"]), seed=int(seed, 16) if isinstance(seed, str) else int(seed or 0),
-            sockets=int((told.get("limits") or {}).get("sockets") or 1024),
+            sockets=int(limits.get("sockets") or 1024), memory_mb=float(limits.get("memory_mb") or 0),
+            cores=float(limits.get("cores") or 0),
             peer_listen=split_address(told["peer_listen"]) if told.get("peer_listen") else None,
             peers=tuple(split_address(peer) for peer in told.get("peers") or ()),
             peers_all=split_address(told["peers_all"]) if told.get("peers_all") else None,
--- a/cobaltpond/edge/door.py
+++ b/cobaltpond/edge/door.py
@@ -11,7 +11,8 @@
 
 SILENT = 2_200_000                                     # a client that has asked nothing goes: 3 s are its due
 YOUNG = 150_000                                        # who means to ask has asked by then, when room is short
-IDLE_ENOUGH = 2_000_000                                # one that has asked may be closed after that
+IDLE_ENOUGH = 2_000_000                                # one that has asked may be closed after that,
+IDLE_PRESSED = 300_000                                 # or after this where another would have to wait
 WAITING_MOST = 16                                      # commands behind an open one
 UNREAD_MOST = 1 << 20                                  # bytes of answers that a client does not take
 PARTING, PARTING_BYTES = 500_000, 256 << 10            # how long and how much is read after our end of file
@@ -164,10 +165,11 @@
 
 
 class Door:
-    """`groups`: path group -> its row of the runsheet; `room`: connections of clients."""
+    """`groups`: path group -> its row of the runsheet; `room()`: how many connections of clients may be
+        now, `most`: ever."""
 
-    def __init__(self, loop, host, runsheet: dict, room: int, log):
-        self.loop, self.host, self.log, self.room = loop, host, log, room
+    def __init__(self, loop, host, runsheet: dict, room, most: int, log):
+        self.loop, self.host, self.log, self.room, self.most = loop, host, log, room, most
         self.groups = {row["name"]: row for row in runsheet["path_groups"]}
         self.customers = {row["name"] for row in runsheet["customers"]}
         self.may_cancel = bool(runsheet.get("may_cancel"))
@@ -203,11 +205,11 @@
         crowds that connect and say nothing, and clients that ask once and stay for good."""
         now = self.loop.now()
         for visit in self.visits:
-            if not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_ENOUGH:
+            if not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_PRESSED:
                 self.count("relieved")
                 visit.connection.close()
                 return True
-        return False
+        return len(self.visits) < self.most and self.host.places.relief()
 
     def visit(self, connection):
         """A task for each connection: reads, and so hears of a client that hangs up."""
@@ -250,7 +252,7 @@
                         visit.refuse("57P05", "nothing was asked")
                 elif visit.unread and now - visit.active > SILENT:
                     visit.connection.abort()
-                elif len(self.visits) * 2 > self.room and visit.idle and now - visit.active > IDLE_ENOUGH:
+                elif len(self.visits) * 2 > self.room() and visit.idle and now - visit.active > IDLE_ENOUGH:
                     self.count("relieved")
                     visit.connection.close()
 
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -20,7 +20,7 @@
     def __init__(self, loop: Loop, path: str, config: Config, log):
         self.loop, self.path, self.config, self.log = loop, path, config, log
         sheet = config.runsheet
-        self.places = Places(loop, config.instances, greet, config.instance_room)
+        self.places = Places(loop, config.instances, greet, self.instance_room)
         self.forwards = Forwards(loop, self.places, self.still)
         self.host = Host(loop, sheet, config.seed & 0xffffff, 4 * config.sockets, sheet["answer_slack"], self.places,
                          self.forwards, log)
@@ -31,10 +31,17 @@
         if config.peer_listen and sheet.get("may_tell") and config.peers:
             self.host.peers = Peers(loop, dict(enumerate(config.peers)), config.peer_listen, sheet["number"],
                                     self.host, config.peers_all)
-        self.door = Door(loop, self.host, sheet, config.client_room, log)
+        self.door = Door(loop, self.host, sheet, self.client_room, config.client_room, log)
         self.stop_asked, self.late = False, 0
         loop.lag = self.lag
 
+    def client_room(self) -> int:
+        """Clients and instances share the descriptors, each up to a part; so does `instance_room`."""
+        return min(self.config.client_room, self.config.room - self.places.open)
+
+    def instance_room(self) -> int:
+        return min(self.config.instance_room, self.config.room - len(self.door.visits))
+
     def lag(self, late: int) -> None:
         self.late = max(self.late, late)
 
@@ -47,8 +54,8 @@
         """The main task."""
         loop, config = self.loop, self.config
         self.host.begin(seed=config.seed)
-        self.platform.recall(config.news)
         self.discovery.recall(config.known)
+        self.platform.recall(config.news)
         self.discovery.start(config.discovery)
         self.platform.start(config.desk)
         loop.spawn(self.places.sweep(), "sweep")
@@ -58,9 +65,10 @@
         end = loop.now() + FIRST_LIST
         while loop.now() < end and not self.discovery.heard and not self.stop_asked:
             yield Sleep(2_000)
+        loop.kernel.settle()                           # before the door opens: it takes a while
         self.door.open(loop.kernel.listen(config.listen, BACKLOG))
-        self.log.info("door open", list=self.discovery.heard)
-        loop.kernel.settle()
+        self.log.info("door open", list=self.discovery.heard, memory_mb=config.memory_mb, cores=config.cores,
+                      sockets=config.sockets)
         while not self.stop_asked:
             yield Sleep(20_000)
         self.log.info("stopping", open=self.host.open_hits)
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -17,9 +17,9 @@
 
 
 class Places:
-    def __init__(self, loop, limits, greet=None, most: int | None = None):
+    def __init__(self, loop, limits, greet=None, most=None):
         """`limits`: the sheet's `instances`. `greet(connection)`: what a protocol needs before the first hit, within
-        the dial's time; raises NoConnection. `most`: connections to all instances together."""
+        the dial's time; raises NoConnection. `most()`: connections to all instances together, now."""
         self.loop, self.limits, self.by_id, self.greet, self.most = loop, limits, {}, greet, most
         self.open = 0
 
@@ -61,7 +61,7 @@
                 pass
             self.close(place, connection)
         if place.open >= self.limits.connections or (
-                self.most is not None and self.open >= self.most and not self.relief()):
+                self.most is not None and self.open >= self.most() and not self.relief()):
             raise NoConnection("no connection free")
         place.open += 1
         self.open += 1
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -61,7 +61,7 @@
 
 
 def serve(loop, listener, answer, most, name, pause=50_000, relief=lambda: False):
-    """Accepts for ever; `answer(connection)` is a task each, `most` at once: the rest waits in the backlog.
+    """Accepts for ever; `answer(connection)` is a task each, `most` (a number, or called) at once; the rest waits.
 
     Guards against used-up descriptors: `relief()` closes what can be spared and says whether there was any; else
     accepting pauses, what is open goes on, and nothing spins.
@@ -79,7 +79,7 @@
 
     try:
         while True:
-            if open_now[0] >= most:
+            if open_now[0] >= (most() if callable(most) else most):
                 yield Sleep(0 if relief() else pause)
                 continue
             try:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -313,3 +313,15 @@
     for _ in range(20):
         bench.hit(key=7)
     assert {a[1] for _, _, a in bench.host.named("forward")[before:]} == {"b"}
+
+
+@pytest.mark.parametrize("first", ["news", "newest row"])
+def test_gateway_that_starts_in_mid_trial_knows_the_earlier_build(first):
+    """Whatever it hears first, the build on trial is judged against the one before it."""
+    bench = Bench([], news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0]) if first == "news" else Bench(
+        [], news=(0, 0, "released", 1.0), stage_caps=[1.0, 1.0])
+    bench.gateway.on_list(bench.host.now, True, NEW + OLD if first == "newest row" else OLD + NEW)
+    bench.news(2, 0, "trial", 1.0)
+    assert bench.gateway.newest.earlier.number == 1
+    bench.serve(8_000 * MS, steady(), fails=lambda id: id[0] == "n")
+    assert "back" in {verdict for _, _, (_, _, verdict) in bench.host.named("vote")}
