A spoilt answer is a broken connection, not an error of the build

Checked: endings in the log: 4.5% 'no sense' on both builds, some 3% real errors on the bad one, so together less than twice the earlier build's share, which errors_say asks for. Ruled out: lost votes; late lists (0.2 s). At fault: edge/forwards.py called both 'error'. Now a spoilt answer ends as reset.

--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -113,7 +113,7 @@
                     return "cut in the answer" if answers.begun else "cut before an answer"
                 answers.feed(data)
         except pg.Nonsense:
-            return "no sense"
+            return "spoilt"
         except PeerLost:
             return "cut in the answer" if answers.begun else "cut before an answer"
         if answers.code is None:
--- a/cobaltpond/gateway/endings.py
+++ b/cobaltpond/gateway/endings.py
@@ -26,6 +26,8 @@
     "answer": ("ok", "a whole answer, or one beyond the point of no return"),
     "server error": ("error", "a 5xx without that promise: it may have run half"),
     "no sense": ("error", "the answer is no HTTP/1.1 within the limits; the instance has seen the hit"),
+    "spoilt": ("reset", "the answer broke into bytes that make no sense: the connection is of no further use, and the "
+                        "hit may have run; unlike an error it is not the instance's word on the hit"),
     "cut before an answer": ("reset", "the connection broke after the first byte was written; also a kept "
                                       "connection that ends just then: HTTP/1.1 cannot tell whether it was read"),
     "cut in the answer": ("reset", "the answer broke off before the point of no return"),
