--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -325,3 +325,10 @@
     assert bench.gateway.newest.earlier.number == 1
     bench.serve(8_000 * MS, steady(), fails=lambda id: id[0] == "n")
     assert "back" in {verdict for _, _, (_, _, verdict) in bench.host.named("vote")}
+
+
+def test_a_hit_that_takes_most_of_its_target_latency_is_not_called_off():
+    """Few hits reach an instance at a time: that nothing else was heard of it meanwhile is no sign of silence."""
+    bench = Bench(OLD[:2])
+    bench.serve(6_000 * MS, lambda id: 450 * MS, every=400 * MS)             # of 600
+    assert len(bench.host.named("forward")) > 10 and bench.host.named("cancel", "bounce", "error") == []
