One harness for the worlds of both gateways

Cause: tests/pgworld.py repeated run, until and raw of tests/world.py. Change: both build on Around; a field that nothing read is gone.

--- a/tests/pgworld.py
+++ b/tests/pgworld.py
@@ -2,12 +2,12 @@
 import json
 import struct
 
-from world import SECOND, Log
+from world import SECOND, Around, Log
 
 from cobaltpond.calls import Refusal, Stream, json_answer, service
 from cobaltpond.edge.config import config_of
 from cobaltpond.edge.main import Edge
-from cobaltpond.loop import Deadline, EpollKernel, Loop, PeerLost, Sleep, dial, free_run, serve
+from cobaltpond.loop import EpollKernel, Loop, Sleep, dial, free_run, serve
 from cobaltpond.wire import pg
 
 SETTINGS = {
@@ -113,13 +113,13 @@
     return ("nothing",)
 
 
-class PgWorld:
+class PgWorld(Around):
     def __init__(self, *scripts, tmp=None, sockets=256, settings=None, news=None, known=False):
         self.deaths, self.log, self.got, self.votes, self.asked, self.feeds = [], Log(), [], [], [], []
         self.loop = Loop(EpollKernel(), lambda task, trouble: self.deaths.append((task.name, trouble)))
         self.lock, base = free_run(self.loop.kernel, 6)
         self.door = ("127.0.0.1", base)
-        self.discovery_says = self.feed_says = None    # what stands in for an answer
+        self.discovery_says = None                     # what stands in for an answer
         self.news = news or {"Revision": 1, "Wave": 0, "State": "stable", "MaxShare": 1.0, "AgeMs": 0}
         self.hosts, self.seq, self.changes = [], 1, []
         for n, script in enumerate(scripts):
@@ -186,25 +186,8 @@
         self.news = {**self.news, **changes}
         self.feeds[-1].put({"type": "ROLLOUT", "object": self.news})
 
-    def run(self, generator, bound=12 * SECOND):
-        """Once the door is open; whatever died on the way fails the test."""
-        def all_of_it():
-            with Deadline(self.loop, bound):
-                while self.edge.door.listener is None:
-                    yield Sleep(2_000)
-                return (yield from generator)
-        try:
-            return self.loop.run(self.loop.spawn(all_of_it(), "test"))
-        finally:
-            self.loop.close()
-            self.lock.close()
-            assert not self.deaths, self.deaths
-            assert not self.loop.tasks, self.loop.tasks
-
-    def until(self, what, bound=5 * SECOND):
-        with Deadline(self.loop, bound):
-            while not what():
-                yield Sleep(2_000)
+    def opened(self):
+        return self.edge.door.listener is not None
 
     def connect(self):
         return Client((yield from dial(self.loop, self.door, SECOND)))
@@ -220,17 +203,5 @@
         client.connection.close()
         return got
 
-    def raw(self, data):
-        """All that comes back until the gateway closes."""
-        connection, got = (yield from dial(self.loop, self.door, SECOND)), b""
-        try:
-            yield from connection.write(data)
-            while piece := (yield from connection.read()):
-                got += piece
-        except PeerLost:
-            pass
-        connection.close()
-        return got
-
     def seen(self):
         return {k: v for k, v in self.edge.forwards.seen.items() if v}
--- a/tests/world.py
+++ b/tests/world.py
@@ -39,7 +39,43 @@
         return lambda event, **more: self.lines.append((level, event, more))
 
 
-class World:
+class Around:
+    """What the worlds of all gateways share; they set `loop`, `lock`, `deaths`, `door` and say when it is `opened`."""
+
+    def run(self, generator, bound=12 * SECOND):
+        """Once the gateway's door is open; whatever died on the way fails the test."""
+        def all_of_it():
+            with Deadline(self.loop, bound):
+                while not self.opened():
+                    yield Sleep(2_000)
+                return (yield from generator)
+        try:
+            return self.loop.run(self.loop.spawn(all_of_it(), "test"))
+        finally:
+            self.loop.close()
+            self.lock.close()
+            assert not self.deaths, self.deaths
+            assert not self.loop.tasks, self.loop.tasks
+
+    def until(self, what, bound=5 * SECOND):
+        with Deadline(self.loop, bound):
+            while not what():
+                yield Sleep(2_000)
+
+    def raw(self, data):
+        """What comes back until the gateway closes."""
+        connection, got = (yield from dial(self.loop, self.door, SECOND)), b""
+        try:
+            yield from connection.write(data)
+            while piece := (yield from connection.read()):
+                got += piece
+        except PeerLost:
+            pass
+        connection.close()
+        return got
+
+
+class World(Around):
     """`scripts`: one generator function `(world, connection)` an instance, called for each connection to it."""
 
     def __init__(self, *scripts, more="", decisions=None, by="push"):
@@ -64,6 +100,9 @@
         self.process = GatewayProcess(self.loop, self.sheet, 0, self.log, decisions)
         self.main = self.loop.spawn(self.process.run(), "gateway")
 
+    def opened(self):
+        return hasattr(self.process.door, "listener")
+
     def scripted(self, number, script):
         def answer(connection):
             self.seen[number] += 1
@@ -97,26 +136,6 @@
         self.news.put({"news": {"build": 1, "stage": 0, "phase": "released", "cap": 1.0, "age_us": 0}})
         return self.news
 
-    def run(self, generator, bound=12 * SECOND):
-        """Once the gateway's door is open; whatever died on the way fails the test."""
-        def all_of_it():
-            with Deadline(self.loop, bound):
-                while not hasattr(self.process.door, "listener"):
-                    yield Sleep(2_000)
-                return (yield from generator)
-        try:
-            return self.loop.run(self.loop.spawn(all_of_it(), "test"))
-        finally:
-            self.loop.close()
-            self.lock.close()
-            assert not self.deaths, self.deaths
-            assert not self.loop.tasks, self.loop.tasks
-
-    def until(self, what, bound=5 * SECOND):
-        with Deadline(self.loop, bound):
-            while not what():
-                yield Sleep(2_000)
-
     # --- clients ---------------------------------------------------------------------------------------------
 
     def connect(self):
@@ -143,18 +162,6 @@
             statuses.append((yield from self.ask(method, path))[0])
         return statuses
 
-    def raw(self, data):
-        """What comes back until the gateway closes."""
-        connection, got = (yield from self.connect()), b""
-        try:
-            yield from connection.write(data)
-            while piece := (yield from connection.read()):
-                got += piece
-        except PeerLost:
-            pass
-        connection.close()
-        return got
-
 
 def answer_of(connection, no_body=False):
     parser, head, body = http1.ResponseParser(LIMITS, no_body), None, b""
