--- a/cobaltpond/edge/config.py
+++ b/cobaltpond/edge/config.py
@@ -1,9 +1,9 @@
 """The platform's configuration: one JSON file, checked, with the settings as the decisions' runsheet."""
-import json
 from dataclasses import dataclass
 
 from cobaltpond.benchlink.runsheet import runsheet
 from cobaltpond.wire.address import split_address
+from cobaltpond.wire.lines import BadLine, one_object
 
 MOST = 8 << 20                                         # bytes of the file
 # Parts of the limit of descriptors. Some are kept for desk, list, peers and the moment in which one replaces another;
@@ -98,9 +98,6 @@
     if len(data) > MOST:
         raise BadConfig(f"{path}: more than {MOST} bytes")
     try:
-        told = json.loads(data)
-    except ValueError as trouble:
-        raise BadConfig(f"{path}: no JSON: {trouble}") from None
-    if not isinstance(told, dict):
-        raise BadConfig(f"{path}: no JSON object")
-    return config_of(told)
+        return config_of(one_object(data))
+    except BadLine as trouble:
+        raise BadConfig(f"{path}: {trouble}") from None
--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -1,10 +1,9 @@
 """The list of instances as the platform's discovery tells it: all of it once, then watches one after another."""
-import json
-
 from cobaltpond.calls import FAILED, Waits, call
+from cobaltpond.edge.handover import HandOver
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.wire.address import split_address
-from cobaltpond.wire.lines import BadLine
+from cobaltpond.wire.lines import BadLine, one_object
 
 STATES = {"up": "up", "draining": "draining", "removed": "gone"}
 WATCH = 2_000_000                                      # how long a watch may wait for something new
@@ -33,7 +32,7 @@
                               "zone": entry.get("site"), "state": STATES[entry["health"]],
                               "weight": entry.get("share") or 1, "started": started},
                              split_address(entry["dial"]) if entry["health"] != "removed" else ("", 0)))
-        except (KeyError, TypeError, ValueError, AttributeError) as trouble:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as trouble:
             raise BadLine(f"no list: {trouble!r}") from trouble
         if not whole and seq < self.seq:
             return False, []                           # overtaken by another connection's
@@ -50,7 +49,7 @@
     def __init__(self, loop, host, address, log, asking: bool):
         """`asking`: the decisions wait for answers, and so hear of those that bring nothing new."""
         self.loop, self.host, self.address, self.log, self.asking = loop, host, address, log, asking
-        self.listed, self.heard, self.following = Listed(), False, None
+        self.listed, self.heard, self.following = Listed(), False, HandOver(loop, "discovery")
         self.counts = {"applied": 0, "errors": 0}
 
     def take(self, told) -> None:
@@ -74,10 +73,10 @@
 
     def start(self, address) -> None:
         """Follows at this address from now on; the task that followed before ends once this one has heard."""
-        before, self.address = self.following, address
-        self.following = self.loop.spawn(self.follow(address, before), "discovery")
+        self.address = address
+        self.following.start(self.follow(address))
 
-    def follow(self, address, before=None):
+    def follow(self, address):
         """For ever. An agent that says nothing or nonsense is asked for the whole list again."""
         waits, whole = Waits(50_000, 1_000_000, self.loop.kernel.seed()), True
         while True:
@@ -88,16 +87,10 @@
                     status, body = yield from call(self.loop, address, "GET", target, b"", ANSWER)
                 if status != 200:
                     raise BadLine(f"status {status}")
-                try:
-                    told = json.loads(body)
-                except ValueError as trouble:
-                    raise BadLine(f"no JSON: {trouble}") from trouble
-                self.take(told)
+                self.take(one_object(body))
                 whole, self.heard = False, True
                 waits.reset()
-                if before is not None:
-                    before.cancel()
-                    before = None
+                self.following.heard()
             except (*FAILED, TimedOut) as trouble:
                 self.counts["errors"] += 1
                 self.log.warning("discovery", why=f"{type(trouble).__name__}: {trouble}"[:200])
--- a/cobaltpond/edge/door.py
+++ b/cobaltpond/edge/door.py
@@ -206,7 +206,8 @@
         crowds that connect and say nothing, and clients that ask once and stay for good."""
         now = self.loop.now()
         for visit in self.visits:
-            if not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_PRESSED:
+            spare = not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_PRESSED
+            if spare and not visit.connection.closed:
                 self.count("relieved")
                 visit.connection.close()
                 return True
@@ -258,8 +259,8 @@
                     visit.connection.close()
 
     def drain(self, linger: int, longest: int):
-        """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open,
-        at the latest `longest` after that."""
+        """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open;
+        one that still is after `longest` more gets its final answer then: none is lost by the end."""
         self.draining = True
         end = self.loop.now() + linger
         while self.loop.now() < end:
@@ -271,6 +272,8 @@
         end = self.loop.now() + longest
         while self.loop.now() < end and any(v.hit is not None or v.writer is not None for v in self.visits):
             yield Sleep(10_000)
+        for hit in list(self.open_ids.values()):
+            self.host.too_late(hit)
         end = self.loop.now() + 100_000
         while self.visits and self.loop.now() < end:
             yield Sleep(10_000)
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -30,7 +30,7 @@
 
 
 class Forwards:
-    """`still(place, row, since)`: does what the decision at `since` was built on hold?"""
+    """`still(place, since)`: does what the decision at `since` was built on hold?"""
 
     def __init__(self, loop, places, still):
         self.loop, self.places, self.still = loop, places, still
@@ -52,7 +52,7 @@
 
     def __init__(self, forwards: Forwards, place: Place, statement, tag: bytes, time_out: int):
         self.of, self.loop, self.place, self.statement, self.tag = forwards, forwards.loop, place, statement, tag
-        self.began, self.time_out, self.row = forwards.loop.now(), time_out, place.row
+        self.began, self.time_out = forwards.loop.now(), time_out
         self.connection, self.wrote = None, False
 
     def whole(self, wanted, deliver, tell):
@@ -89,7 +89,7 @@
             except NoConnection as trouble:
                 return str(trouble)
             # a dial takes time: guards drains and the exposure cap against what was told meanwhile
-            if not wanted() or not self.of.still(self.place, self.row, self.began):
+            if not wanted() or not self.of.still(self.place, self.began):
                 return "changed meanwhile"
             answers = self.connection.answers
             answers.expect(self.tag)
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -11,7 +11,8 @@
 
 FIRST_LIST = 500_000                                   # how long the door waits for a first list
 LINGER = 500_000                                       # new connections may come so long after TERM
-LONGEST = 2_500_000                                    # what is open then is answered in that time, before KILL
+LONGEST = 3_000_000                                    # KILL comes no sooner after TERM than this and 0.7 s, where a
+                                                       # client timeout is longer; else than the longest of them
 BACKLOG = 512
 SAY = 5_000_000                                        # a line of figures so often
 
@@ -45,10 +46,12 @@
     def lag(self, late: int) -> None:
         self.late = max(self.late, late)
 
-    def still(self, place, row: dict, since: int) -> bool:
-        """Does what a decision at `since` was built on hold: the instance, its start and build, no lower cap?"""
-        now = self.places.by_id.get(row["id"])
-        return now is place and now.row["state"] == "up" and self.platform.lowered.get(row["build"], -1) < since
+    def still(self, place, since: int) -> bool:
+        """Does what a decision at `since` was built on hold: the instance (another start or build is another
+        place), and no lower cap?"""
+        row = place.row
+        listed = self.places.by_id.get(row["id"]) is place and row["state"] == "up"
+        return listed and self.platform.lowered.get(row["build"], -1) < since
 
     def run(self):
         """The main task."""
@@ -72,7 +75,8 @@
         while not self.stop_asked:
             yield Sleep(20_000)
         self.log.info("stopping", open=self.host.open_hits)
-        yield from self.door.drain(LINGER, LONGEST)
+        longest = max(group["client_timeout"] for group in config.runsheet["path_groups"])
+        yield from self.door.drain(LINGER, min(longest, LONGEST))
         self.log.info("stopped", open=self.host.open_hits, **self.door.counts)
 
     def stop(self, name: str = "") -> None:
--- a/cobaltpond/edge/platform.py
+++ b/cobaltpond/edge/platform.py
@@ -2,15 +2,16 @@
 import json
 
 from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
+from cobaltpond.edge.handover import HandOver
 from cobaltpond.gateway.news import ANSWERS
 from cobaltpond.loop import Deadline, TimedOut
-from cobaltpond.wire.lines import BadLine
+from cobaltpond.wire.lines import BadLine, one_object
 
 PHASES = {"canary": "trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
 DECISIONS = {"none": "abstain", "on": "promote", "hold": "pause", "back": "abort"}
 BALLOTS, FEED = "/v2/projects/main/ballots", "/v2/projects/main/feed"
 SILENCE = 3_000_000                                    # a sign of life is due every second
-NO_NEWS = (KeyError, TypeError, ValueError, AttributeError)
+NO_NEWS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def state_of(told: dict) -> tuple:
@@ -22,7 +23,7 @@
 class Platform:
     def __init__(self, loop, host, address, vote_wait: int, dial_time: int, log):
         self.loop, self.host, self.address, self.log = loop, host, address, log
-        self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, None
+        self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, HandOver(loop, "feed")
         self.heard, self.last, self.lowered = False, None, {}
         self.counts = {"news": 0, "wrong": 0, "errors": 0}
 
@@ -67,17 +68,13 @@
 
     def start(self, address) -> None:
         """Follows and votes at this address from now on; the feed before ends once this one stands."""
-        before, self.address = self.following, address
-        self.following = self.loop.spawn(self.follow(address, before), "feed")
+        self.address = address
+        self.following.start(self.follow(address))
 
-    def follow(self, address, before):
+    def follow(self, address):
         """The feed, for ever."""
-        first = [before]
-
         def take(objects):
-            if first[0] is not None:                   # what both tell must not count twice
-                first[0].cancel()
-                first[0] = None
+            self.following.heard()                     # what two feeds tell must not count twice
             self.take(objects)
 
         def broken(trouble):
@@ -97,7 +94,7 @@
                                                self.dial_time)
             answer = ANSWERS.get(status, "error" if status in (400, 500) else "timeout")
             if status == 200:
-                self.news(json.loads(text), True)
+                self.news(one_object(text), True)
         except NOT_SENT:
             answer = "error"
         except (*FAILED, TimedOut, *NO_NEWS):
--- a/cobaltpond/wire/lines.py
+++ b/cobaltpond/wire/lines.py
@@ -6,6 +6,17 @@
     """A line that is no JSON object, or longer than the limit."""
 
 
+def one_object(data: bytes) -> dict:
+    """Raises BadLine; also on what is nested so deep that reading it would end the task that asked."""
+    try:
+        one = json.loads(data)
+    except (ValueError, RecursionError) as trouble:
+        raise BadLine(f"no JSON: {data[:80]!r}") from trouble
+    if not isinstance(one, dict):
+        raise BadLine(f"no object: {data[:80]!r}")
+    return one
+
+
 class Lines:
     """Cuts a stream of bytes into objects; what is torn waits for its rest."""
 
@@ -20,13 +31,7 @@
         objects = []
         for line in whole.split(b"\n"):
             if line.strip():
-                try:
-                    one = json.loads(line)
-                except ValueError as trouble:
-                    raise BadLine(f"no JSON: {line[:80]!r}") from trouble
-                if not isinstance(one, dict):
-                    raise BadLine(f"no object: {line[:80]!r}")
-                objects.append(one)
+                objects.append(one_object(line))
         return objects
 
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -51,6 +51,11 @@
     assert bodies == b"".join(body for method, _, body, _ in hits if method == "POST")
 
 
+def test_a_line_nested_without_end_is_a_bad_line():
+    with pytest.raises(BadLine):
+        Lines().feed(b"[" * 200_000 + b"\n")
+
+
 @fixed
 @given(st.binary(max_size=400))
 def test_any_bytes_are_read_or_refused(data):
