The load that a probe is told is read from its row

Ruled out: lost or shortened reports, since those that come beside the answers to hits were read. At fault: Run.whole in edge/forwards.py looked for ParameterStatus only, which a probe's answer has not.

So a thin gateway paid for two probes a hit and chose blindly.

--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -10,6 +10,7 @@
 
 USER, DATABASE = "web", "orders"
 REFUSALS = ("53300",)                                  # the instance promises that the hit did not run
+SHOWN = b"SHOW\0"                                      # how the answer to a probe ends
 PROBES = ("57P03",)                                    # what a probe is told by an instance that drains
 
 
@@ -43,7 +44,7 @@
 
     def probe(self, place: Place, tell):
         """A task: one cheap question to an instance. `tell(ending, took, report)`."""
-        run = Run(self, place, lambda left: b"SHOW gauges", b"SHOW\0", self.places.limits.dial_time)
+        run = Run(self, place, lambda left: b"SHOW gauges", SHOWN, self.places.limits.dial_time)
         yield from run.whole(lambda: True, None, lambda ending, took, closed, report: tell(ending, took, report))
 
 
@@ -66,7 +67,8 @@
                 seen = "too late" if self.wrote else "dial too slow"
             answers = self.connection and self.connection.answers
             if answers is not None and self.wrote:
-                report = pg.report(answers.gauges)
+                # what SHOW asks for is the row itself; the answers to hits bring it beside the row
+                report = pg.report(answers.shown if self.tag == SHOWN else answers.gauges)
             if seen == "answer" and deliver is not None and wanted():
                 closed = True
                 deliver(answers.value)
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -10,11 +10,9 @@
 import gc
 import os
 import select
-import shutil
 import signal
 import socket
 import struct
-import subprocess
 import time
 from typing import Protocol
 
@@ -189,7 +187,7 @@
 
 
 class Child:
-    def __init__(self, process: subprocess.Popen):
+    def __init__(self, process):
         self.process, self.pid = process, process.pid
 
     def ended(self) -> int | None:
@@ -339,6 +337,8 @@
     def spawn(self, argv, output, mark="") -> Child:
         """Starts a process that leads its own session and group; what it prints goes to the end of a file. A mark
         lets a later start of this program find it again, see `adopt`. Raises Unreachable where it cannot start."""
+        import subprocess  # not on the path of `run`, which may start nothing
+
         try:
             with open(output, "ab") as sink:
                 return Child(subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink,
@@ -434,6 +434,7 @@
     def remove(self, path) -> None:
         """A file, or a folder with all in it; nothing where it is gone already."""
         if os.path.isdir(path) and not os.path.islink(path):
+            import shutil  # as above
             shutil.rmtree(path)
         elif os.path.lexists(path):
             os.remove(path)
--- a/cobaltpond/loop/process.py
+++ b/cobaltpond/loop/process.py
@@ -1,5 +1,4 @@
 """A process that consists of one part with a `run` (its main task) and a `stop(signal name)`; pools of workers."""
-import multiprocessing
 import os
 
 from cobaltpond.loop.tasks import Loop
@@ -24,5 +23,7 @@
     if jobs == 1:
         yield from map(call, items)
         return
+    import multiprocessing  # not on the path of `run`, which may start nothing
+
     with multiprocessing.get_context("spawn").Pool(jobs, maxtasksperchild=each) as pool:
         yield from pool.imap(call, items)
--- a/cobaltpond/wire/pg.py
+++ b/cobaltpond/wire/pg.py
@@ -156,6 +156,11 @@
         """RowDescription, DataRow and CommandComplete as they came."""
         return b"".join(self.parts)
 
+    @property
+    def shown(self) -> bytes | None:
+        """The one column of the row, by itself."""
+        return self.parts[1][11:] if self.row else None
+
     @property
     def done(self) -> bool:
         return self.whole or self.code is not None
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -1,5 +1,7 @@
 """The platform's gateway on real sockets: each way a forward can end, bad clients and instances, changes, signals."""
 import json
+import subprocess
+import sys
 
 import pytest
 from pgworld import SETTINGS, PgWorld, answering, good, row, statement, tag_of, told
@@ -61,6 +63,39 @@
     assert world.seen() == {"answer": 2} and world.edge.places.open == 1
 
 
+def test_the_load_that_a_probe_is_told_stands_in_the_row():
+    told = []
+    world = PgWorld(answering(lambda text, _: row(b"util=0.9,inflight=7.5", b"SHOW") + pg.READY), known=True)
+
+    def probing():
+        place = world.edge.places.by_id["s-0"]
+        yield from world.edge.forwards.probe(place, lambda *what: told.append(what))
+
+    world.run(probing())
+    (ending, _, report), = told
+    assert world.got == [b"SHOW gauges"] and ending == "ok" and report == {"util": 0.9, "inflight": 7.5}
+
+
+# what `run` may import beside the standard library's plain parts; whatever forks, starts programs or brings its own
+# threads and sockets is refused on the platform's fleet days, and later subsystems must not creep onto this path
+ROOMS = {"benchlink", "calls", "decisions", "edge", "gateway", "loop", "wire"}
+REFUSED = {"subprocess", "_posixsubprocess", "multiprocessing", "concurrent", "asyncio", "ctypes", "threading", "ssl",
+           "logging", "pty", "socketserver"}
+
+
+def test_run_imports_nothing_that_the_platform_refuses():
+    code = ("import sys; before = set(sys.modules); import cobaltpond.edge.__main__; "
+            "print(*sorted(set(sys.modules) - before))")
+    names = subprocess.run([sys.executable, "-S", "-c", f"import sys; sys.path[:0] = {sys.path!r}; {code}"],
+                           capture_output=True, text=True, check=True).stdout.split()
+    ours = {name.split(".")[1] for name in names if name.startswith("cobaltpond.")}
+    outside = {name.split(".")[0].lstrip("_") for name in names} - {
+        name.lstrip("_") for name in sys.stdlib_module_names}
+    assert ours <= ROOMS and "edge" in ours
+    assert {name for name in outside if not name.startswith("cython")} == {"cobaltpond", "httptools"}
+    assert {name.split(".")[0] for name in names} & REFUSED == set()
+
+
 def test_nobody_to_ask_is_a_bounce_at_once_with_advice():
     world = PgWorld()
 
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -46,6 +46,15 @@
         assert pg.report(answers.gauges) == {"inflight": 7.0, "util": 0.5}
 
 
+def test_what_show_asks_for_is_the_row_itself():
+    answers = pg.Answers()
+    answers.feed(pg.welcome())
+    answers.expect(b"SHOW\0")
+    assert answers.shown is None
+    answers.feed(row(b"util=0.5,inflight=3", b"SHOW") + pg.READY)
+    assert answers.whole and pg.report(answers.shown) == {"util": 0.5, "inflight": 3.0}
+
+
 @fixed
 @given(st.binary(max_size=300), st.booleans())
 def test_any_bytes_are_read_or_refused(data, started):
