Thin gateways probe by price, and ask an instance before they call it silent

At fault: watch_silent. One gateway in 180 hears from an instance every 7 s, so whatever took longer than 0.8 of the target latency was taken for silent, benched, called off and sent again, and that load slowed the rest. The probes had only hidden it.

Now a thin gateway asks the instance after half of the target latency and calls off only if two ticks bring no answer; before a hit it probes one or two in turn only where the price in the settings is below the share of contacts that go unanswered.

--- a/cobaltpond/decisions/records.py
+++ b/cobaltpond/decisions/records.py
@@ -188,4 +188,5 @@
 class Forward:
     def __init__(self, instance, now):
         self.instance, self.sent, self.settled, self.dropped = instance, now, False, False
+        self.asked = None                              # when the instance was asked whether it is there
         self.crowd = instance.out + instance.others            # hits it found there, as far as we know
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -27,6 +27,7 @@
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 TICK_SHARE, HELD_SHARE = 0.05, 0.15    # how often held hits look for room, and how long
 QUIET_SHARE, USEFUL_SHARE = 0.8, 0.9   # silent is who owes an answer so long; no further forward past this
+DOUBT_SHARE = 0.5            # where it may be probed: asked after so long, silent if that is not answered either
 COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
@@ -53,6 +54,8 @@
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         votes, self.gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.thin = self.gateways > THIN
+        self.probes = self.thin and runsheet.get("may_probe")
+        self.patience = DOUBT_SHARE if self.probes else QUIET_SHARE
         self.stretch = (2 if self.thin else 1) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits
         self.level = NormalDist().inv_cdf(1 - bearable(ceil(votes * (1 - ALIKE)), LEVEL) / self.gateways)
         self.strict = NormalDist().inv_cdf(1 - LEVEL / self.gateways)    # where all gateways would err alike
@@ -401,11 +404,14 @@
         return chosen
 
     def asks(self, hit, now):
-        """A thin gateway probes the next two in turn; the one that answers, or with the less load, gets the
-        hit: against crowded, slow and silent instances. Harm: the price, and reports that lie."""
-        if hit.forwards or not (self.thin and self.sheet.get("may_probe")):
+        """A thin gateway probes the next one or two in turn; the one that answers, or with the less load, gets
+        the hit: against silent, crowded and slow instances. Harm: reports that lie, and the price: no probe
+        where it costs more than the share of hits that go unanswered."""
+        if hit.forwards or not self.probes:
             return False
-        while hit.state == State.TAKEN and len(hit.asked) < 2 and (instance := self.pick(hit, now)):
+        price = self.sheet.get("probe_price", 0)
+        most = min(2, int(self.shy / price)) if price else 2
+        while hit.state == State.TAKEN and len(hit.asked) < most and (instance := self.pick(hit, now)):
             hit.asked.append(instance)
             self.host.probe(instance.id)
         patience = self.tick * (1 if hit.free else 2)
@@ -455,7 +461,7 @@
         instance.tokens -= 1
         instance.build.sent.enter(hit.group.ledger, now)
         self.move(hit, State.OUT)
-        self.wake_by(now + int(QUIET_SHARE * hit.group.target) + 1, now)
+        self.wake_by(now + int(self.patience * hit.group.target) + 1, now)
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
     def place_held(self, now):
@@ -508,14 +514,21 @@
 
     def watch_silent(self, now):
         """Calls off what a silent instance owes, if it may be repeated: against vanished, cut-off ones. To a
-        thin gateway busy looks like silent: no repeats there while answers are late, or the fleet drowns."""
+        thin gateway busy looks like silent: it asks first, and repeats nothing while answers are late, or the
+        fleet drowns."""
         for hit in [h for h in self.hits.values() if h.state == State.OUT]:
             last, instance = hit.forwards[-1], hit.forwards[-1].instance
-            due = last.sent + int(QUIET_SHARE * hit.group.target) + 1
+            due = last.sent + int(self.patience * hit.group.target) + 1
+            if now >= due and self.probes and instance.heard_at < last.sent:
+                if last.asked is None:
+                    last.asked = now
+                    self.host.probe(instance.id)
+                due = last.asked + 2 * self.tick
             if now < due:
                 self.wake_by(due, now)
             elif instance.heard_at < last.sent:
                 self.bench(instance, now)
+                self.shy += (not last.dropped) * (1 - self.shy) * 0.1
                 self.wake_by(max(now + self.tick, instance.benched_until), now)
                 may = self.sheet.get("may_cancel") and hit.group.kind != "mutating" and not last.dropped
                 if may and (self.admitted >= 1 or not self.thin):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -332,3 +332,45 @@
     bench = Bench(OLD[:2])
     bench.serve(6_000 * MS, lambda id: 450 * MS, every=400 * MS)             # of 600
     assert len(bench.host.named("forward")) > 10 and bench.host.named("cancel", "bounce", "error") == []
+
+
+PRICED = {**THIN, "probe_price": 0.08}
+
+
+def test_no_probe_where_it_costs_more_than_the_hits_it_may_spare():
+    bench = Bench(OLD, **PRICED)
+    bench.serve(4_000 * MS, lambda id: 100 * MS)
+    assert len(bench.host.named("forward")) > 90 and bench.host.named("probe") == []
+    while bench.host.open:
+        bench.end(bench.host.open[0], "ok")
+    bench.hit()
+    bench.end(bench.host.open[0], "unreachable")       # one dial in ten fails, as far as it knows
+    bench.hit()
+    assert len(bench.host.named("probe")) == 1
+
+
+def slow_one(answers):
+    """A thin gateway with one hit out for longer than it waits before it asks the instance; its probes are answered
+    or not."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit()
+    bench.run(450 * MS)                                # of 600
+    (_, _, (asked,)), = bench.host.named("probe")
+    assert asked == bench.host.open[0][3] and bench.host.named("cancel") == []
+    if answers:
+        bench.gateway.on_probed(bench.host.now, asked, "ok", MS, {"inflight": 9})
+    bench.run(600 * MS)
+    return bench, asked
+
+
+def test_a_busy_instance_that_answers_when_asked_is_not_called_off():
+    bench, asked = slow_one(True)
+    assert bench.host.named("cancel") == [] and len(bench.host.named("probe", "forward")) == 2
+    assert bench.gateway.fleet.by_id[asked].benched_until == 0
+
+
+def test_an_instance_that_says_nothing_when_asked_is_called_off_and_the_hit_goes_elsewhere():
+    bench, asked = slow_one(False)
+    assert len(bench.host.named("cancel")) == 1 and bench.gateway.fleet.by_id[asked].benched_until > 0
+    assert bench.host.open[0][3] != asked
