The evidence against a build ends when the earlier one gets no more hits

The stretch of 2.6 s held the earlier build's hits of its first part and the new one's of the burst. Ruled out: crowd and warmth (0 and 1 in all), lost messages. At fault: alike paired by stretch alone, and its list of what has no pair was held against builds whose earlier one had gone with its half of the capacity.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -267,19 +267,25 @@
 
     def alike(self, new, old, now):
         """Like with like, as pairs (new, old): latencies by stretch of time, less what cold and crowding
-        explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time."""
+        explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time: of
+        another stretch, or ended when the earlier build got no more. Of that nothing is held against a build
+        released beside the earlier one: then the load of both goes to it, and what was alike is so no more."""
         old = [s for s in old if s.warmth >= 1]
         if not old:
             return [], []
         usual = median(s.crowd for s in old) + 1
-        strata, orphans = {}, []
+        moved = self.phase == "released" and self.sheet.get("layout") == "beside"
+        strata, orphans, last = {}, [], max(s.at - s.latency for s in old)
+        last = min(last, self.stage_began) if moved else last
         for s in old:
             strata.setdefault(s.stretch, ([], []))[1].append(s.latency * usual / max(usual, s.crowd + 1))
         for s in new:
-            side = strata[s.stretch][0] if s.stretch in strata else orphans
+            side = strata[s.stretch][0] if s.stretch in strata and s.at <= last else orphans
             side.append(s.latency * s.warmth * usual / max(usual, s.crowd + 1))
         pairs = [(some, sorted(ref)) for some, ref in strata.values() if some]
         alone = [(orphans, sorted(x for _, ref in strata.values() for x in ref))] if orphans else []
+        if moved:
+            return pairs, []
         return ([], pairs + alone) if now - old[-1].at > self.stretch else (pairs, alone)
 
     def on_tally(self, now, build, group, count, errored, mean, age):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -374,3 +374,36 @@
     bench, asked = slow_one(False)
     assert len(bench.host.named("cancel")) == 1 and bench.gateway.fleet.by_id[asked].benched_until > 0
     assert bench.host.open[0][3] != asked
+
+
+def test_load_that_moves_to_a_released_build_is_no_evidence_against_it():
+    """The hits of both builds go to the new one once the earlier one drains. What was slow in the trial counts on."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.5), stage_caps=[0.5, 1.0], gate="clock", layout="beside")
+    bench.serve(6_000 * MS, steady(), groups=("look",))
+    gateway, released = bench.gateway, bench.host.now
+    bench.news(2, 0, "released", 1.0)
+    bench.serve(7_000 * MS, steady(), groups=("look",))
+    bench.gateway.on_list(bench.host.now, False, [{**one, "state": "draining"} for one in OLD])
+    bench.serve(9_000 * MS, steady(500), groups=("look",))
+    new, old = (gateway.window(b, gateway.groups["look"], bench.host.now)
+                for b in (gateway.newest, gateway.newest.earlier))
+    pairs, alone = gateway.alike(new, old, bench.host.now)
+    assert sum(s.at > released for s in new) > 30 and alone == []
+    counted = sum(len(some) for some, _ in pairs)
+    assert 0 < counted <= sum(s.at <= released for s in new)
+
+
+def test_hits_that_end_when_the_earlier_build_gets_no_more_are_not_ranked_with_its_own():
+    """In place: the earlier instances leave one after another, the last hits they had are quick."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+    bench.serve(3_000 * MS, steady(), groups=("look", "hold"))
+    bench.gateway.on_list(bench.host.now, False, [{**one, "state": "gone"} for one in OLD])
+    bench.serve(3_500 * MS, steady(500), groups=("look", "hold"))
+    gateway = bench.gateway
+    for group in gateway.groups.values():
+        new, old = (gateway.window(build, group, bench.host.now) for build in (gateway.newest, gateway.newest.earlier))
+        pairs, alone = gateway.alike(new, old, bench.host.now)
+        last = max(sample.at - sample.latency for sample in old) if old else 0
+        paired = sum(len(some) for some, _ in pairs)
+        assert paired == sum(sample.at <= last for sample in new) or group.name == "pay"
+        assert alone or group.name == "pay"
