A thin gateway's share of hits is cut once a round, and late hits may earn a probe

Checked: a line a second of each gateway's state ("shed 3 adm 0.10 bench 0 limit 0 cold 0 out 0"). Ruled out: benched, full and cold instances, hits held too long. At fault: learn cut the share of hits let in for each late answer, also for those of hits sent before the last cut; 38 hits that were out in one jam took it to a tenth, and it grows by a tenth an answer.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -27,10 +27,11 @@
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 TICK_SHARE, HELD_SHARE = 0.05, 0.15    # how often held hits look for room, and how long
 QUIET_SHARE, USEFUL_SHARE = 0.8, 0.9   # silent is who owes an answer so long; no further forward past this
-DOUBT_SHARE = 0.5            # where it may be probed: asked after so long, silent if that is not answered either
+DOUBT_SHARE = 0.5            # where probes are allowed: asked after so long, silent if it says nothing then
 COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
+SPARED = 1 / 3               # of late hits, by choosing the better of two (measured: a third to a half)
 SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
 TRIAL_LEAN, TRUST_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 2, 1, 100      # hits: counts as emptier, or fuller
 
@@ -48,6 +49,7 @@
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
+        self.admitted_cut, self.late = now, 0.0        # when last cut; share of answers that came late
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
         self.shortest = min(g.target for g in self.groups.values())
@@ -115,10 +117,12 @@
             instance.limit, instance.cut_at = max(1, int(instance.limit * LIMIT_CUT)), now
         elif instance.lag <= BRISK_SHARE and instance.out + 1 >= instance.limit:
             instance.limit += 1
+        self.late += ((lag >= USEFUL_SHARE) - self.late) * 0.05
         if lag < USEFUL_SHARE:
             self.admitted = min(1.0, self.admitted + ADMIT_STEP)
-        elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
-            self.admitted = max(ADMIT_STEP, self.admitted * ADMIT_CUT)
+        # a failing instance or a lost dial is no jam; what went out before the last cut says nothing of it
+        elif ending in ("ok", "timeout", "full") and now - took >= self.admitted_cut:
+            self.admitted, self.admitted_cut = max(ADMIT_STEP, self.admitted * ADMIT_CUT), now
         fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
         instance.faults += (fault - instance.faults) * 0.3
         if ending == "ok" and instance.faults < 0.3:
@@ -268,8 +272,8 @@
     def alike(self, new, old, now):
         """Like with like, as pairs (new, old): latencies by stretch of time, less what cold and crowding
         explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time: of
-        another stretch, or ended when the earlier build got no more. Of that nothing is held against a build
-        released beside the earlier one: then the load of both goes to it, and what was alike is so no more."""
+        another stretch, or ended when the earlier build got no more. None of it, nor what comes later, counts
+        against a build released beside the earlier one: the load of both goes to it, like is not with like."""
         old = [s for s in old if s.warmth >= 1]
         if not old:
             return [], []
@@ -410,13 +414,13 @@
         return chosen
 
     def asks(self, hit, now):
-        """A thin gateway probes the next one or two in turn; the one that answers, or with the less load, gets
-        the hit: against silent, crowded and slow instances. Harm: reports that lie, and the price: no probe
-        where it costs more than the share of hits that go unanswered."""
+        """A thin gateway probes the next one or two in turn; the one that answers, or with less load, gets the
+        hit: against silent, crowded and slow instances. Harm: reports that lie, and the price: no probe where
+        it costs more than the hits it may spare, those unanswered and a part of the late ones."""
         if hit.forwards or not self.probes:
             return False
         price = self.sheet.get("probe_price", 0)
-        most = min(2, int(self.shy / price)) if price else 2
+        most = min(2, int(max(self.shy, SPARED * self.late) / price)) if price else 2
         while hit.state == State.TAKEN and len(hit.asked) < most and (instance := self.pick(hit, now)):
             hit.asked.append(instance)
             self.host.probe(instance.id)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -376,6 +376,22 @@
     assert bench.host.open[0][3] != asked
 
 
+def test_late_answers_to_what_went_out_before_the_last_cut_cut_no_more():
+    bench = Bench(OLD, gateways=100, may_cancel=False)
+    for _ in range(8):
+        bench.hit()
+    bench.run(700 * MS)                                # of 600
+    while bench.host.open:
+        bench.end(bench.host.open[0], "ok")
+        bench.run(bench.host.now + 25 * MS)
+    assert bench.gateway.admitted == 0.7
+    bench.gateway.admitted = 1.0
+    bench.hit()
+    bench.run(bench.host.now + 700 * MS)
+    bench.end(bench.host.open[0], "ok")
+    assert bench.gateway.admitted == 0.7
+
+
 def test_load_that_moves_to_a_released_build_is_no_evidence_against_it():
     """The hits of both builds go to the new one once the earlier one drains. What was slow in the trial counts on."""
     bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.5), stage_caps=[0.5, 1.0], gate="clock", layout="beside")
