--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -27,9 +27,11 @@
 BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
 TICK_SHARE, HELD_SHARE = 0.05, 0.15    # how often held hits look for room, and how long
 QUIET_SHARE, USEFUL_SHARE = 0.8, 0.9   # silent is who owes an answer so long; no further forward past this
+DOUBT_SHARE = 0.5            # where probes are allowed: asked after so long, silent if it says nothing then
 COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
 BRISK_SHARE, LIMIT_FIRST, LIMIT_CUT = 0.3, 4, 0.7   # limit in flight: grows by one, cut where slower
 ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
+SPARED = 1 / 3               # of late hits, by choosing the better of two (measured: a third to a half)
 SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
 TRIAL_LEAN, TRUST_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 2, 1, 100      # hits: counts as emptier, or fuller
 
@@ -47,12 +49,15 @@
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
+        self.admitted_cut, self.late = now, 0.0        # when last cut; share of answers that came late
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
         self.shortest = min(g.target for g in self.groups.values())
         self.tick = max(int(TICK_SHARE * self.shortest), runsheet.get("tick", 1))
         votes, self.gateways = max(1, runsheet.get("back_votes") or 1), max(1, runsheet.get("gateways", 1))
         self.thin = self.gateways > THIN
+        self.probes = self.thin and runsheet.get("may_probe")
+        self.patience = DOUBT_SHARE if self.probes else QUIET_SHARE
         self.stretch = (2 if self.thin else 1) * int(ALIKE_COLD_TIMES * self.cold_time) or SECOND   # few hits
         self.level = NormalDist().inv_cdf(1 - bearable(ceil(votes * (1 - ALIKE)), LEVEL) / self.gateways)
         self.strict = NormalDist().inv_cdf(1 - LEVEL / self.gateways)    # where all gateways would err alike
@@ -112,10 +117,12 @@
             instance.limit, instance.cut_at = max(1, int(instance.limit * LIMIT_CUT)), now
         elif instance.lag <= BRISK_SHARE and instance.out + 1 >= instance.limit:
             instance.limit += 1
+        self.late += ((lag >= USEFUL_SHARE) - self.late) * 0.05
         if lag < USEFUL_SHARE:
             self.admitted = min(1.0, self.admitted + ADMIT_STEP)
-        elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
-            self.admitted = max(ADMIT_STEP, self.admitted * ADMIT_CUT)
+        # a failing instance or a lost dial is no jam; what went out before the last cut says nothing of it
+        elif ending in ("ok", "timeout", "full") and now - took >= self.admitted_cut:
+            self.admitted, self.admitted_cut = max(ADMIT_STEP, self.admitted * ADMIT_CUT), now
         fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
         instance.faults += (fault - instance.faults) * 0.3
         if ending == "ok" and instance.faults < 0.3:
@@ -264,19 +271,25 @@
 
     def alike(self, new, old, now):
         """Like with like, as pairs (new, old): latencies by stretch of time, less what cold and crowding
-        explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time."""
+        explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time: of
+        another stretch, or ended when the earlier build got no more. None of it, nor what comes later, counts
+        against a build released beside the earlier one: the load of both goes to it, like is not with like."""
         old = [s for s in old if s.warmth >= 1]
         if not old:
             return [], []
         usual = median(s.crowd for s in old) + 1
-        strata, orphans = {}, []
+        moved = self.phase == "released" and self.sheet.get("layout") == "beside"
+        strata, orphans, last = {}, [], max(s.at - s.latency for s in old)
+        last = min(last, self.stage_began) if moved else last
         for s in old:
             strata.setdefault(s.stretch, ([], []))[1].append(s.latency * usual / max(usual, s.crowd + 1))
         for s in new:
-            side = strata[s.stretch][0] if s.stretch in strata else orphans
+            side = strata[s.stretch][0] if s.stretch in strata and s.at <= last else orphans
             side.append(s.latency * s.warmth * usual / max(usual, s.crowd + 1))
         pairs = [(some, sorted(ref)) for some, ref in strata.values() if some]
         alone = [(orphans, sorted(x for _, ref in strata.values() for x in ref))] if orphans else []
+        if moved:
+            return pairs, []
         return ([], pairs + alone) if now - old[-1].at > self.stretch else (pairs, alone)
 
     def on_tally(self, now, build, group, count, errored, mean, age):
@@ -401,11 +414,14 @@
         return chosen
 
     def asks(self, hit, now):
-        """A thin gateway probes the next two in turn; the one that answers, or with the less load, gets the
-        hit: against crowded, slow and silent instances. Harm: the price, and reports that lie."""
-        if hit.forwards or not (self.thin and self.sheet.get("may_probe")):
+        """A thin gateway probes the next one or two in turn; the one that answers, or with less load, gets the
+        hit: against silent, crowded and slow instances. Harm: reports that lie, and the price: no probe where
+        it costs more than the hits it may spare, those unanswered and a part of the late ones."""
+        if hit.forwards or not self.probes:
             return False
-        while hit.state == State.TAKEN and len(hit.asked) < 2 and (instance := self.pick(hit, now)):
+        price = self.sheet.get("probe_price", 0)
+        most = min(2, int(max(self.shy, SPARED * self.late) / price)) if price else 2
+        while hit.state == State.TAKEN and len(hit.asked) < most and (instance := self.pick(hit, now)):
             hit.asked.append(instance)
             self.host.probe(instance.id)
         patience = self.tick * (1 if hit.free else 2)
@@ -455,7 +471,7 @@
         instance.tokens -= 1
         instance.build.sent.enter(hit.group.ledger, now)
         self.move(hit, State.OUT)
-        self.wake_by(now + int(QUIET_SHARE * hit.group.target) + 1, now)
+        self.wake_by(now + int(self.patience * hit.group.target) + 1, now)
         self.host.forward(hit.id, instance.id, hit.deadline - now)
 
     def place_held(self, now):
@@ -508,14 +524,21 @@
 
     def watch_silent(self, now):
         """Calls off what a silent instance owes, if it may be repeated: against vanished, cut-off ones. To a
-        thin gateway busy looks like silent: no repeats there while answers are late, or the fleet drowns."""
+        thin gateway busy looks like silent: it asks first, and repeats nothing while answers are late, or the
+        fleet drowns."""
         for hit in [h for h in self.hits.values() if h.state == State.OUT]:
             last, instance = hit.forwards[-1], hit.forwards[-1].instance
-            due = last.sent + int(QUIET_SHARE * hit.group.target) + 1
+            due = last.sent + int(self.patience * hit.group.target) + 1
+            if now >= due and self.probes and instance.heard_at < last.sent:
+                if last.asked is None:
+                    last.asked = now
+                    self.host.probe(instance.id)
+                due = last.asked + 2 * self.tick
             if now < due:
                 self.wake_by(due, now)
             elif instance.heard_at < last.sent:
                 self.bench(instance, now)
+                self.shy += (not last.dropped) * (1 - self.shy) * 0.1
                 self.wake_by(max(now + self.tick, instance.benched_until), now)
                 may = self.sheet.get("may_cancel") and hit.group.kind != "mutating" and not last.dropped
                 if may and (self.admitted >= 1 or not self.thin):
