--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -120,9 +120,8 @@
         self.late += ((lag >= USEFUL_SHARE) - self.late) * 0.05
         if lag < USEFUL_SHARE:
             self.admitted = min(1.0, self.admitted + ADMIT_STEP)
-        # a failing instance or a lost dial is no jam; what went out before the last cut says nothing of it
-        elif ending in ("ok", "timeout", "full") and now - took >= self.admitted_cut:
-            self.admitted, self.admitted_cut = max(ADMIT_STEP, self.admitted * ADMIT_CUT), now
+        elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
+            self.jammed(now - took, now)
         fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
         instance.faults += (fault - instance.faults) * 0.3
         if ending == "ok" and instance.faults < 0.3:
@@ -131,6 +130,11 @@
         if ending == "unreachable" or instance.faults > 0.5:
             self.bench(instance, now)
 
+    def jammed(self, sent, now):
+        """Something is late. What went out before the last cut says nothing of that cut."""
+        if sent >= self.admitted_cut:
+            self.admitted, self.admitted_cut = max(ADMIT_STEP, self.admitted * ADMIT_CUT), now
+
     def blames(self, customer, ending):
         """Is an error its customer's doing? Against hits that any instance errors; may hide a fault."""
         rate = 0.2 if self.thin else 0.05
@@ -536,7 +540,10 @@
                 due = last.asked + 2 * self.tick
             if now < due:
                 self.wake_by(due, now)
-            elif instance.heard_at < last.sent:
+            elif instance.heard_at >= last.sent:       # it lives and is slow: no need to wait for the answer
+                late = last.sent + int(USEFUL_SHARE * hit.group.target) + 1
+                self.jammed(last.sent, now) if now >= late else self.wake_by(late, now)
+            else:
                 self.bench(instance, now)
                 self.shy += (not last.dropped) * (1 - self.shy) * 0.1
                 self.wake_by(max(now + self.tick, instance.benched_until), now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -423,3 +423,16 @@
         paired = sum(len(some) for some, _ in pairs)
         assert paired == sum(sample.at <= last for sample in new) or group.name == "pay"
         assert alone or group.name == "pay"
+
+
+def test_a_slow_hit_cuts_the_share_before_its_answer_comes():
+    """Guards against a jam whose answers take several times the target latency: until then all would be let in."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit()
+    bench.run(450 * MS)                                # of 600
+    (_, _, (asked,)), = bench.host.named("probe")
+    bench.gateway.on_probed(bench.host.now, asked, "ok", MS, {"inflight": 9})
+    assert bench.gateway.admitted == 1.0
+    bench.run(700 * MS)
+    assert bench.gateway.admitted == 0.7 and bench.host.open
