Trust in a build draws on all gateways together, not on each of them

Checked: who leans. A trusted build counted as two hits emptier at each gateway, and in one of 180 no instance is known to have a hit, so those gateways that had their 40 outcomes sent all they had to the trial, as far as the cap went. Ruled out: the trial's own lean (0.017 a gateway) and the cold budget (all parts sum to 0.6 of what the rule allows). At fault: crowding divides one lean by the gateways, not the other.

Now both are shared by all.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -398,7 +398,7 @@
             lean += CONDEMNED_LEAN
         elif self.cap_of(instance.build) is not None:
             pace = 1.0                                 # a slow build must not hide by getting no hits
-            lean -= TRIAL_LEAN / max(TRIAL_LEAN, self.gateways) + TRUST_LEAN * self.trusted
+            lean -= (TRIAL_LEAN + TRIAL_LEAN * TRUST_LEAN * self.trusted) / max(TRIAL_LEAN, self.gateways)
         warmth = instance.warmth(now)
         lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
         return (instance.out + instance.others + 1) * pace + lean
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -436,3 +436,18 @@
     assert bench.gateway.admitted == 1.0
     bench.run(700 * MS)
     assert bench.gateway.admitted == 0.7 and bench.host.open
+
+
+def test_trust_in_a_build_draws_no_more_to_it_from_hundreds_of_gateways_than_from_a_few():
+    """A lean of its own at each of them would send all hits of a fleet to the few instances of a stage."""
+    shares = []
+    for gateways in (3, 180):
+        bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0], gateways=gateways, layout="beside")
+        bench.gateway.trusted = True
+        for _ in range(60):
+            bench.hit()
+            bench.end(bench.host.open[0])
+            bench.host.now += 10 * MS
+        sent = [a[1] for _, _, a in bench.host.named("forward")]
+        shares.append(sum(id[0] == "n" for id in sent) / len(sent))
+    assert shares[0] == 1.0 and 0.3 < shares[1] < 0.5                      # 4 of 10 instances
