Errors spread over many instances count against their build

Ruled out: lost samples (n 480 of each), the crowd (0), latency. At fault: look counted errors only at the instances that without_worst leaves, and that takes out the worst third by mean latency, in which an error is a time-out. Of 12 instances a third is four; of ninety with an error here and there it is all that erred.

Now errors leave out no more instances than the build's largest cell has.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -3,7 +3,7 @@
 A host makes one `Gateway(host, now, seed, runsheet)` a start and calls its `on_...` methods, one an event; it
 answers by calling the host (`interface.py`). What is kept stands in `records.py`. Times are microseconds.
 """
-from collections import deque
+from collections import Counter, deque
 from itertools import islice
 from math import ceil, inf, sqrt
 from statistics import NormalDist, fmean, median
@@ -220,21 +220,23 @@
             samples.popleft()
         return samples                                 # the last ones of a build stay as its reference
 
-    def without_worst(self, samples):
+    def without_worst(self, samples, most=inf):
         """No single instance or place carries the verdict: the worst third is left out, of two the worse."""
         means = mean_by(samples, "instance", "latency")
-        worst = sorted(means, key=lambda instance: -means[instance])[:len(means) // 3 or len(means) // 2]
+        left_out = min(len(means) // 3 or len(means) // 2, most)
+        worst = sorted(means, key=lambda instance: -means[instance])[:left_out]
         return [s for s in samples if s.instance not in worst]
 
     def look(self, build, now):
         """Fail, suspect or fine; a fail in any path group, or in all together, as one may be too thin."""
-        cases, says = [], []
+        cases, says, cells = [], [], Counter((i.zone, i.cell) for i in self.fleet.up if i.build is build)
+        place = max(cells.values(), default=1)         # of errors no more: a third of many has all of the few
         for group in self.groups.values():
-            new = self.without_worst(self.window(build, group, now))
-            old = self.window(build.earlier, group, now)
+            every, old = self.window(build, group, now), self.window(build.earlier, group, now)
+            new, most = self.without_worst(every), self.without_worst(every, place)
             record = build.earlier.errored.get(group.name, (0, 0))
-            counts = (sum(s.errored for s in new), len(new), *record)
-            cases.append((counts, new, [*old], *self.alike(new, old, now)))
+            counts = (sum(s.errored for s in most), len(most), *record)
+            cases.append((counts, most, [*old], *self.alike(new, old, now)))
         counts, *lists = zip(*cases, strict=True)
         cases.append(([sum(row) for row in zip(*counts, strict=True)], *(sum(rows, []) for rows in lists)))
         for name, (counts, new, old, pairs, alone) in zip([*self.groups, "all"], cases, strict=True):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 
 from cobaltpond.benchlink.runsheet import runsheet
 from cobaltpond.decisions.figures import bearable, chance_of, draw_chance, rank_z
-from cobaltpond.decisions.records import Chance
+from cobaltpond.decisions.records import Chance, Sample
 
 OLD = [row(f"i{n}") for n in range(6)]
 NEW = [row(f"n{n}", 2) for n in range(4)]
@@ -451,3 +451,16 @@
         sent = [a[1] for _, _, a in bench.host.named("forward")]
         shares.append(sum(id[0] == "n" for id in sent) / len(sent))
     assert shares[0] == 1.0 and 0.3 < shares[1] < 0.5                      # 4 of 10 instances
+
+
+def test_few_errors_spread_over_many_instances_are_seen():
+    """Each of 30 instances errs once in a while: leaving out the worst third of them would leave out every error."""
+    old, new = ([row(f"{mark}{n:02}", build, cell=n // 3) for n in range(30)] for mark, build in (("i", 1), ("n", 2)))
+    bench = Bench(old + new, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+    gateway, group = bench.gateway, bench.gateway.groups["look"]
+    for n in range(3_600):                             # 600 of the new build, of which 12 errors at 12 instances
+        instance = gateway.fleet.by_id[f"{'i' if n % 6 else 'n'}{n // 6 % 30:02}"]
+        errored = instance.id[0] == "n" and n >= 3_600 - 12 * 6
+        latency = (2500 if errored else 80) * MS
+        gateway.enter_sample(group, Sample(n * MS, latency, errored, instance, n // 1_000, 1.0, 0))
+    assert gateway.look(gateway.newest, 3_600 * MS) == "fail"
