--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -279,7 +279,7 @@
         """Like with like, as pairs (new, old): latencies by stretch of time, less what cold and crowding
         explain: against bursts, shared slowness, a squeeze. Apart, what has no earlier hits of its time: of
         another stretch, or ended when the earlier build got no more. None of it, nor what comes later, counts
-        against a build released beside the earlier one: the load of both goes to it, like is not with like."""
+        against a build released beside the earlier one: the load of both goes to it, unlike is compared."""
         old = [s for s in old if s.warmth >= 1]
         if not old:
             return [], []
@@ -420,7 +420,7 @@
         return chosen
 
     def asks(self, hit, now):
-        """A thin gateway probes the next one or two in turn; the one that answers, or with less load, gets the
+        """A thin gateway probes the next one or two in turn; one that answers, or with less load, gets the
         hit: against silent, crowded and slow instances. Harm: reports that lie, and the price: no probe where
         it costs more than the hits it may spare, those unanswered and a part of the late ones."""
         if hit.forwards or not self.probes:
