An unanswered probe counts once, not again at each look at the same forward

Cause: read in watch_silent. A silent forward that may not be called off (a mutating hit, or while the admitted share is below 1) was looked at each tick, and each look raised the share of unanswered contacts, by which probes are bought: one silent hit took it to nearly 1 within its target latency. The probe that was not answered counts there already, in on_probed.

Change: the second count is gone.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -547,7 +547,6 @@
                 self.jammed(last.sent, now) if now >= late else self.wake_by(late, now)
             else:
                 self.bench(instance, now)
-                self.shy += (not last.dropped) * (1 - self.shy) * 0.1
                 self.wake_by(max(now + self.tick, instance.benched_until), now)
                 may = self.sheet.get("may_cancel") and hit.group.kind != "mutating" and not last.dropped
                 if may and (self.admitted >= 1 or not self.thin):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -464,3 +464,16 @@
         latency = (2500 if errored else 80) * MS
         gateway.enter_sample(group, Sample(n * MS, latency, errored, instance, n // 1_000, 1.0, 0))
     assert gateway.look(gateway.newest, 3_600 * MS) == "fail"
+
+
+def test_a_silent_forward_that_may_not_be_called_off_counts_once():
+    """The probe that goes unanswered is the sign; the forward stays out and is looked at again and again."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit("pay")
+    bench.run(650 * MS)                                # of 800, and two ticks
+    (_, _, (asked,)), = bench.host.named("probe")
+    bench.gateway.on_probed(bench.host.now, asked, "timeout", 250 * MS, {})
+    bench.run(1_500 * MS)
+    assert bench.host.open and bench.host.named("cancel") == []
+    assert bench.gateway.fleet.by_id[asked].benched_until > 0 and bench.gateway.shy == pytest.approx(0.1)
