Judging: both builds count from one moment on, and a told error lies in its own time

The two that judge for all logged 1.8 to 2.4 times the earlier median, z 5 to 8, at 15.9 s.

Cause, read from the judges' samples as written out at the verdict: a window keeps 480 samples by count. The new build got two thirds of the hits, so that its 480 had ended within 1.3 s, the earlier one's within 3 s. Of what was sent 2 s before only what took longest was left of the new one. Answers counted by the second of their end gave 423 ms (new) against 815 ms (earlier). Besides, a told error carries the client timeout as its latency, and the judge dated it back by that: six seconds, into quieter strata. Lines: `alike` and `on_peer` in rules.py.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -197,7 +197,8 @@
     def on_peer(self, now, peer, data):
         self.fleet.tags = self.fleet.tags or {Told.tag(i): i for i in self.fleet.up}
         mark, index, errored, latency, crowd = Told.unpack(data)
-        instance, sent = self.fleet.tags.get(mark), now - latency
+        instance = self.fleet.tags.get(mark)
+        sent = now if errored else now - latency       # an error counts as a time-out and came much sooner
         if instance and index < len(self.groups):
             self.enter_sample(list(self.groups.values())[index], Sample(
                 now, latency, errored, instance, sent // self.stretch, instance.warmth(sent), crowd))
@@ -281,8 +282,13 @@
         another stretch, or ended when the earlier build got no more. None of it, nor what comes later, counts
         against a build released beside the earlier one: the load of both goes to it, unlike is compared."""
         old = [s for s in old if s.warmth >= 1]
-        if not old:
+        if not old or not new:
             return [], []
+        # of hits sent long ago, those kept since later ended later: both from one moment on, or it is the long
+        # ones of the one against all of the other
+        since = max(old[0].at, new[0].at)
+        kept = [s for s in old if s.at >= since], [s for s in new if s.at >= since]
+        old, new = kept if min(map(len, kept)) >= LEAST else (old, new)
         usual = median(s.crowd for s in old) + 1
         moved = self.phase == "released" and self.sheet.get("layout") == "beside"
         strata, orphans, last = {}, [], max(s.at - s.latency for s in old)
