--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -62,7 +62,7 @@
         import importlib
         module, _, name = decisions.partition(":")
         kind = getattr(importlib.import_module(module), name)
-    run_gateway(EpollKernel(), sheet, number, logger(f"gateway-{number}"), kind)
+    sys.exit(run_gateway(EpollKernel(), sheet, number, logger(f"gateway-{number}"), kind) or 0)
 
 
 @main.command()
@@ -111,6 +111,23 @@
     return answer
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--at", type=int, default=None, help="The table of this gateway only.")
+@click.option("--watch", is_flag=True, help="Goes on, and says what has changed.")
+@click.option("--as-json", is_flag=True)
+def members(file, at, watch, as_json):
+    """Which gateways are there, in whose eyes. Exit code 0 only if all answered and agree."""
+    from cobaltpond.cli.members import show
+    sheet = sheet_of(file)
+    if sheet.members is None:
+        click.echo(f"{file}: no call of members(...): its gateways do not know each other", err=True)
+        sys.exit(2)
+    if at is not None and not 0 <= at < len(sheet.gateways):
+        raise click.BadParameter(f"the sheet has gateways 0 to {len(sheet.gateways) - 1}", param_hint="--at")
+    sys.exit(show(EpollKernel(), sheet, at, watch, as_json, click.echo))
+
+
 @main.group()
 def release():
     """Speaks to the release desk."""
--- a/cobaltpond/decisions/figures.py
+++ b/cobaltpond/decisions/figures.py
@@ -2,6 +2,7 @@
 from bisect import bisect_left, bisect_right
 from math import comb, exp, factorial, sqrt
 from statistics import fmean
+from zlib import crc32
 
 
 def rank_z(strata):
@@ -43,3 +44,9 @@
     for item in items:
         rows.setdefault(getattr(item, key), []).append(getattr(item, value))
     return {name: fmean(row) for name, row in rows.items()}
+
+
+def lot(name, number):
+    """Rendezvous hashing (Thaler, Ravishankar, 1998): the lot that a number draws for a name. Who is gone changes
+    nothing among the others. The product carries, which spares the checksum's being linear."""
+    return crc32(f"{number} {name}".encode()) * 0x9e3779b97f4a7c15 % 2**64 >> 16
--- a/cobaltpond/decisions/records.py
+++ b/cobaltpond/decisions/records.py
@@ -142,6 +142,15 @@
                 self.by_id[row["id"]] = made(row)
             else:
                 known.state = row["state"]
+        self.order()
+
+    def drain(self, instances):
+        """Not by the list: the next row of the list puts it right."""
+        for instance in instances:
+            instance.state = "draining"
+        self.order()
+
+    def order(self):
         self.up = sorted((i for i in self.by_id.values() if i.state == "up"), key=lambda i: i.id)
         self.ids, self.tags, self.cold = [i.id for i in self.up], {}, self.up
 
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -4,11 +4,12 @@
 answers by calling the host (`interface.py`). What is kept stands in `records.py`. Times are microseconds.
 """
 from collections import Counter, deque
+from heapq import nlargest
 from itertools import islice
 from math import ceil, inf, sqrt
 from statistics import NormalDist, fmean, median
 
-from cobaltpond.decisions.figures import bearable, draw_chance, mean_by, rank_z
+from cobaltpond.decisions.figures import bearable, draw_chance, lot, mean_by, rank_z
 from cobaltpond.decisions.records import Chance, Fleet, Hit, Instance, Ledgers, PathGroup, Sample, State
 from cobaltpond.decisions.told import Told
 
@@ -48,6 +49,7 @@
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
+        self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
         self.admitted_cut, self.late = now, 0.0        # when last cut; share of answers that came late
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
@@ -151,6 +153,8 @@
 
     def cap_of(self, build):
         """The cap that binds this build now; None where it is not on trial."""
+        if build is self.shut:
+            return 0.0
         if self.newest is None or build.number > self.newest.number:
             return (self.sheet.get("stage_caps") or [0.0])[0]
         return self.cap if build is self.newest and self.phase != "released" else None
@@ -178,7 +182,7 @@
             return
         sample = Sample(now, took if ending == "ok" else group.timeout, ending == "error", instance,
                         forward.sent // self.stretch, instance.warmth(forward.sent), forward.crowd)
-        self.enter_sample(group, sample)
+        self.enter_sample(group, sample, now)
         self.tell_judges(group, sample)
 
     def tell_judges(self, group, sample):
@@ -190,29 +194,69 @@
         if not build or not told or of not in (build, build.earlier):
             return
         owed, group.owed = group.owed, 1 if of is build else 0
-        for judge in [(build.number + n) % self.gateways for n in range(min(JUDGES, self.gateways))]:
-            if judge != self.sheet.get("number") and (owed or of is build):
-                self.host.tell(judge, Told.pack(sample, list(self.groups).index(group.name)))
+        if owed or of is build:
+            heard = {}
+            for judge in self.judges(build):
+                self.tell(judge, group, sample, heard, sample.at)
+            if self.living is not None:
+                self.own.append((group, sample, heard))
+
+    def judges(self, build):
+        """By number; where it is known who is there, of those the ones that draw the highest lots: a dead
+        judge gives place to one, and views that differ little choose nearly the same."""
+        if self.living is None:
+            return [(build.number + n) % self.gateways for n in range(min(JUDGES, self.gateways))]
+        return nlargest(JUDGES, sorted(self.living), key=lambda number: lot(build.number, number))
+
+    def tell(self, judge, group, sample, heard, now):
+        """Once to each start of a judge: what is told twice would count twice."""
+        mark = judge, (self.living or {}).get(judge)
+        if judge != self.sheet.get("number") and mark not in heard:
+            heard[mark] = True
+            self.host.tell(judge, Told.pack(sample, list(self.groups).index(group.name), now - sample.at))
+
+    def on_members(self, now, living):
+        """Who is there, and since which start. A new judge is told what we have seen of the trial lately,
+        each a part of it: guards against evidence that is lost with the judge who had it."""
+        self.living, build = living, self.newest
+        if build and self.phase == "trial":
+            part = 2 * REFERENCE * LEAST // max(1, len(living)) + 1
+            for group, sample, heard in list(self.own)[-part:]:
+                for judge in self.judges(build) if sample.instance.build in (build, build.earlier) else ():
+                    self.tell(judge, group, sample, heard, now)
+
+    def on_shut(self, now, build):
+        """Another gateway has heard that this build goes back, or gets less: nothing more is sent there until
+        our own desk has spoken (None). No such word ever opens what is shut."""
+        self.shut = None if build is None else self.fleet.build(build)
+        self.place_held(now)
 
-    def on_peer(self, now, peer, data):
+    def on_drains(self, now, tags):
+        """Another gateway's newer list says that these drain: no more hits, until our own list has them."""
+        self.fleet.drain([self.tagged()[tag] for tag in tags if tag in self.tagged()])
+
+    def tagged(self):
         self.fleet.tags = self.fleet.tags or {Told.tag(i): i for i in self.fleet.up}
-        mark, index, errored, latency, crowd = Told.unpack(data)
-        instance = self.fleet.tags.get(mark)
-        sent = now if errored else now - latency       # an error counts as a time-out and came much sooner
+        return self.fleet.tags
+
+    def on_peer(self, now, peer, data):
+        mark, index, errored, latency, crowd, age = Told.unpack(data)
+        instance, at = self.tagged().get(mark), now - age
+        sent = at if errored else at - latency         # an error counts as a time-out and came much sooner
         if instance and index < len(self.groups):
             self.enter_sample(list(self.groups.values())[index], Sample(
-                now, latency, errored, instance, sent // self.stretch, instance.warmth(sent), crowd))
+                at, latency, errored, instance, sent // self.stretch, instance.warmth(sent), crowd), now)
 
-    def enter_sample(self, group, sample):
+    def enter_sample(self, group, sample, now):
         """Keeps it; one on trial, against the newest build or while that is suspect calls for a look."""
         build = sample.instance.build
         build.enter(group.name, sample)
-        self.window(build, group, sample.at)           # trimmed unjudged too: against weeks without a release
+        self.window(build, group, now)                 # trimmed unjudged too: against weeks without a release
         against = sample.errored or self.said != "fine" or self.phase == "trial" or (
             sample.latency > MARGIN * group.usual)
         if build is self.newest and against and not self.fresh:
             self.fresh = True
-            self.wake_by(max(sample.at, self.looked + LOOK_EVERY), sample.at)
+            self.wake_by(max(now, self.looked + LOOK_EVERY), now)
 
     def window(self, build, group, now):
         samples, least = build.samples.get(group.name, deque()), REFERENCE * LEAST
@@ -312,7 +356,7 @@
         """A wrong answer passed for a quick success: it counts as an errored hit of its build."""
         instance, group = self.fleet.by_id.get(id), self.groups.get(group)
         if instance and group:
-            self.enter_sample(group, Sample(now, group.timeout, True, instance, -1, 0, 0))
+            self.enter_sample(group, Sample(now, group.timeout, True, instance, -1, 0, 0), now)
 
     # --- votes ---------------------------------------------------------------------------------------------
 
--- a/cobaltpond/gateway/door.py
+++ b/cobaltpond/gateway/door.py
@@ -130,8 +130,10 @@
 
 
 class Door:
-    def __init__(self, loop, sheet, host, log, status):
+    def __init__(self, loop, sheet, host, log, status, members=None):
+        """`members`: this gateway's `members.service.Members`, where it knows the others."""
         self.loop, self.sheet, self.host, self.log, self.status = loop, sheet, host, log, status
+        self.members = members
         self.routes, self.visits, self.parting = Routes(sheet), {}, {}
         self.draining, self.counts = False, {}
         self.shares = Shares({c.name: c.share for c in sheet.customers}, 2 * sheet.release.exposure_window)
@@ -254,6 +256,14 @@
         elif what in (b"live", b"ready"):
             good = what == b"live" or not self.draining
             visit.put(http1.response(200 if good else 503, [], b"ok\n" if good else b"stopping\n"), False)
+        elif what == b"prefer":
+            # for fronts that have a choice. Not `ready`: were all gateways alone, none would be left in service
+            alone = self.members is not None and (self.members.alone or self.members.island)
+            text = b"stopping\n" if self.draining else b"cut off from other gateways\n" if alone else b"ok\n"
+            visit.put(http1.response(503 if alone or self.draining else 200, [], text), False)
+        elif what == b"members" and self.members is not None:
+            body = json.dumps(self.members.table(), separators=(",", ":")).encode()
+            visit.put(http1.response(200, [(b"content-type", b"application/json")], body), False)
         else:
             raise http1.BadMessage(404, "no such page of the gateway")
 
--- a/cobaltpond/gateway/follow.py
+++ b/cobaltpond/gateway/follow.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 
 from cobaltpond.calls import FAILED, Waits, call, follow
+from cobaltpond.decisions.told import Told
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.sheet.parts import split_address
 from cobaltpond.wire.lines import BadLine, Lines
@@ -70,6 +71,10 @@
         body = json.dumps({"epoch": self.epoch, "revision": self.revision, "base": None, "rows": rows}).encode()
         return b"%08x %s\n" % (zlib.crc32(body), body)
 
+    def draining(self) -> list[int]:
+        """Tags of those that drain by it, as gateways tell each other of instances."""
+        return [Told.mark(id, entry["build"]) for id, entry in self.rows.items() if entry["state"] == "draining"]
+
     @staticmethod
     def from_disk(data: bytes | None) -> dict | None:
         """None where nothing whole is there."""
@@ -85,6 +90,7 @@
         self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
         self.address, self.memory = split_address(sheet.listing.address), place.memory
         self.held, self.heard, self.dirty = Held(), False, False
+        self.said = lambda: None                       # called whenever the list has been applied
         self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
         self.counts = {"applied": 0, "gaps": 0, "errors": 0}
 
@@ -106,6 +112,7 @@
             return
         whole, rows = self.held.apply(self.loop.now(), told)
         self.heard, self.dirty = True, True
+        self.said()
         if rows or whole:
             self.counts["applied"] += 1
             self.host.places.update(whole, rows)
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -1,4 +1,5 @@
 """One gateway process: puts the parts together, opens the door when list and news are there, stops in order."""
+from cobaltpond.decisions.records import Chance
 from cobaltpond.gateway.door import Door
 from cobaltpond.gateway.follow import Follower
 from cobaltpond.gateway.forwards import Forwards
@@ -7,8 +8,12 @@
 from cobaltpond.gateway.news import News
 from cobaltpond.gateway.peers import Peers
 from cobaltpond.loop import Loop, Sleep, run_part
+from cobaltpond.members.service import Members
+from cobaltpond.members.view import Settings
+from cobaltpond.members.wire import READY
 from cobaltpond.sheet.parts import split_address
 
+REPLACED = 3                                           # exit code of one whose name a newer start has taken
 START_WAIT = 10                                        # times the dial time: how long the door waits for news
 
 
@@ -23,13 +28,37 @@
                          self.places, self.forwards, log)
         self.follower = self.host.list = Follower(loop, sheet, self.place, self.host, log)
         self.news = self.host.news = News(loop, sheet, self.host, log)
-        if sheet.allow.tell and self.place.peers:
+        self.members = None
+        if (sheet.allow.tell or sheet.members) and self.place.peers:
             addresses = {g.number: split_address(g.peers) for g in sheet.gateways if g.peers}
-            self.host.peers = Peers(loop, addresses, addresses[number], number, self.host)
-        self.door = Door(loop, sheet, self.host, log, self.status)
+            bound = split_address(self.place.bind) if self.place.bind else addresses[number]
+            self.host.peers = Peers(loop, addresses, bound, number, self.host)
+        if sheet.members:
+            self.know_each_other(sheet)
+        self.door = Door(loop, sheet, self.host, log, self.status, self.members)
         self.decisions, self.lag, self.stop_asked = decisions, Lag(), False
         loop.lag = self.lag.enter
 
+    def know_each_other(self, sheet) -> None:
+        """Membership, and what is heard of the release and of instances on its way."""
+        self.members = Members(
+            self.loop, {g.number: g.zone for g in sheet.gateways}, self.number,
+            Settings(sheet.members.period, sheet.members.wait), self.host.peers, self.post_member, self.about,
+            self.log, Chance(self.loop.kernel.seed()), sheet.digest())
+        self.news.said = lambda *state: self.members.hearsay.news(self.loop.now(), *state)
+        self.follower.said = lambda: self.members.hearsay.listed(
+            self.loop.now(), self.follower.held.revision, self.follower.held.draining())
+
+    def post_member(self, name: str, *arguments) -> None:
+        if name != "on_members" or self.sheet.members.judges:
+            self.host.post(name, *arguments)
+
+    def about(self) -> dict:
+        """What this gateway says of itself to the others."""
+        ready = hasattr(self.door, "listener") and not self.door.draining
+        return {"revision": self.follower.held.revision, "out": self.host.open_hits,
+                "admitted": getattr(self.host.decisions, "admitted", 1.0), "flags": READY if ready else 0}
+
     def status(self) -> dict:
         heard = self.news.last
         return {"gateway": self.number, "start": f"{self.start:x}", "zone": self.place.zone,
@@ -39,6 +68,7 @@
                 "desk": {"news": heard and dict(zip(("build", "stage", "phase", "cap"), heard, strict=True)),
                          **self.news.counts},
                 "peers": self.host.peers.counts if self.host.peers else None,
+                "members": self.members.status() if self.members else None,
                 "connections": len(self.door.visits), "tasks": len(self.loop.tasks),
                 "lag_us": self.lag.summary(), "instances": self.places.counts()}
 
@@ -55,6 +85,8 @@
             names.append((self.follower.push(), "list"))
         if self.host.peers:
             names.append((self.host.peers.listen(), "peers"))
+        if self.members:
+            names.append((self.members.run(), "members"))
         for generator, name in names:
             loop.spawn(generator, name)
         end = loop.now() + START_WAIT * self.sheet.instances.dial_time
@@ -66,11 +98,15 @@
         # their client timeout, while another gateway could have had them
         self.door.open(loop.kernel.listen(split_address(self.place.door), self.sheet.door.backlog))
         loop.kernel.settle()
-        while not self.stop_asked:
+        while not self.stop_asked and not (self.members and self.members.replaced):
             yield Sleep(20_000)
         self.log.info("stopping", open=self.host.open_hits)
+        replaced = self.members is not None and self.members.replaced
+        if self.members and not replaced:
+            loop.spawn(self.members.leave(), "leave")
         yield from self.door.drain()
         self.log.info("stopped", **self.door.counts)
+        return REPLACED if replaced else 0
 
     def stop(self, name: str = "") -> None:
         self.stop_asked = True
@@ -90,6 +126,6 @@
         return {f"p{p:g}": self.histogram.get_value_at_percentile(p) for p in (50, 99, 99.9, 100)}
 
 
-def run_gateway(kernel, sheet, number: int, log, decisions=None) -> None:
-    """Until a signal to stop."""
-    run_part(kernel, lambda loop: GatewayProcess(loop, sheet, number, log, decisions), log, "gateway")
+def run_gateway(kernel, sheet, number: int, log, decisions=None) -> int:
+    """Until a signal to stop. Gives the exit code."""
+    return run_part(kernel, lambda loop: GatewayProcess(loop, sheet, number, log, decisions), log, "gateway")
--- a/cobaltpond/gateway/news.py
+++ b/cobaltpond/gateway/news.py
@@ -14,6 +14,7 @@
         self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
         self.address, self.heard, self.last = split_address(sheet.desk.address), False, None
         self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
+        self.said = lambda *state: None                # called with each word of the desk
         self.counts = {"news": 0, "tallies": 0, "wrong": 0, "errors": 0}
 
     def state(self, told: dict) -> tuple:
@@ -32,6 +33,7 @@
                 if state[:4] != self.last:
                     self.last = state[:4]
                     self.log.info("news", build=state[0], stage=state[1], phase=state[2], cap=state[3])
+                self.said(*state)
                 self.host.post_first("on_news", *state, False, "ok")
             elif "tally" in told:
                 t = told["tally"]
@@ -76,5 +78,7 @@
             answer = "timeout"
         except (KeyError, TypeError, ValueError):
             answer = "timeout"                         # it was heard, and what was said makes no sense
+        if answer == "ok":
+            self.said(*state)
         self.log.info("vote answered", build=build, stage=stage, verdict=verdict, answer=answer)
         self.host.post_first("on_news", *state, True, answer)
--- a/cobaltpond/gateway/peers.py
+++ b/cobaltpond/gateway/peers.py
@@ -4,6 +4,7 @@
 from cobaltpond.loop import Readable
 
 FORM, MAGIC = ">2sHH", b"cp"                           # magic, number of the sender, length of what it says
+MEMBERS = b"cm"                                        # the magic of what membership says, where there is any
 MOST = 256                                             # bytes of a datagram, all in all
 
 
@@ -13,7 +14,7 @@
         self.loop, self.host, self.addresses, self.everyone = loop, host, addresses, everyone
         self.numbers = {address: number for number, address in addresses.items()}
         self.handle = loop.kernel.datagrams(listen)
-        self.number, self.counts = number, {"heard": 0, "odd": 0}
+        self.number, self.counts, self.members = number, {"heard": 0, "odd": 0}, None    # takes (number, data)
 
     def tell(self, peer: int | None, data: bytes) -> bool:
         """To one gateway, or to all others (None). False where none was sent."""
@@ -25,6 +26,11 @@
         to = [peer] if peer is not None else [n for n in self.addresses if n != self.number]
         return any([self.handle.send(packet, self.addresses[n]) for n in to if n in self.addresses])
 
+    def send_members(self, peer: int, data: bytes) -> bool:
+        """One datagram of membership."""
+        packet = struct.pack(FORM, MEMBERS, self.number, len(data)) + data
+        return peer in self.addresses and self.handle.send(packet, self.addresses[peer])
+
     def listen(self):
         """For ever; what does not come from a gateway of the sheet is counted and dropped."""
         head = struct.calcsize(FORM)
@@ -38,8 +44,12 @@
                 self.counts["odd"] += 1
                 continue
             magic, number, length = struct.unpack(FORM, data[:head])
-            if magic != MAGIC or self.numbers.get(sender) != number or length != len(data) - head or len(data) > MOST:
+            known = magic == MAGIC or magic == MEMBERS and self.members is not None
+            if not known or self.numbers.get(sender) != number or length != len(data) - head or len(data) > MOST:
                 self.counts["odd"] += 1
                 continue
             self.counts["heard"] += 1
-            self.host.post("on_peer", number, data[head:])
+            if magic == MEMBERS:
+                self.members(number, data[head:])
+            else:
+                self.host.post("on_peer", number, data[head:])
--- /dev/null
+++ b/cobaltpond/members/view.py
@@ -0,0 +1,448 @@
+"""One gateway's view of all gateways: SWIM (Das, Gupta, Motivala, 2002) with Lifeguard's refinements (Dadgar,
+Phillips, Currey, 2018). Free of I/O: time, datagrams and chance come in, datagrams to be sent come out.
+
+A probe asks one member; who does not answer in time is asked for by helpers; who answers nobody is suspect, which all
+are told and it may refute by a higher incarnation; a suspect whose time runs out has failed. What is told rides on the
+datagrams of the probes. Ours beside the papers: failed and unheard members are reached for now and then, so that a
+split heals without anybody's order; views whose digests differ fill the room left in a datagram with their tables.
+"""
+from dataclasses import dataclass
+from math import ceil, log, log10
+
+from cobaltpond.members import wire
+from cobaltpond.members.picture import DIRECT, HELPED, LOST, MUTE, Picture
+from cobaltpond.members.states import (
+    ALIVE,
+    CAUSE_OF,
+    CODES,
+    DOUBTED,
+    FAILED,
+    LEFT,
+    RAN_OUT,
+    SUSPECT,
+    UNHEARD,
+    Member,
+    change,
+)
+
+HELPERS = 3                                            # asked for who does not answer (SWIM's k)
+ALPHA, BETA, DOUBTS = 5, 6, 3                          # Lifeguard, IV: suspicion's least and most, confirmations
+HEALTH_MOST = 8                                        # Lifeguard's S
+TELLINGS = 4                                           # times the logarithm of the members a change is told
+NACK_SHARE = 0.8                                       # of the wait: a helper says that it has heard nothing either
+REACHES = 3                                            # a period, while nobody is heard; else one
+RELAYED = 64                                           # questions for others that are open here
+EACH_PERIOD = 24                                       # datagrams of one sender that are read in a period
+STOOD_STILL = 0.5                                      # of a wait: a tick so late says that we stood still
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Times in microseconds. `plain`: SWIM as first published, for comparison."""
+    period: int = 1_000_000
+    wait: int = 300_000
+    plain: bool = False
+
+    @property
+    def beta(self) -> int:
+        return 1 if self.plain else BETA
+
+
+class Probe:
+    """The one that is under way. `asked`: when helpers were asked, None before."""
+
+    def __init__(self, member: Member, sequence: int, began: int, wait: int, period: int):
+        self.member, self.sequence, self.began, self.asked = member, sequence, began, None
+        self.ask_at, self.end_at, self.helpers, self.nacks, self.reached = began + wait, began + period, {}, {}, None
+
+
+class View:
+    """`zones`: name of each gateway's zone by number, ours included. `chance`: as `Chance` of the decisions. What is
+    to be sent collects in `out` as (number, datagram), what has changed in `changes` as (member, state before)."""
+
+    def __init__(self, number: int, zones: dict[int, str], settings: Settings, chance, start: int, now: int):
+        self.number, self.zones, self.settings, self.chance = number, zones, settings, chance
+        self.members = {n: Member(n, zone, now) for n, zone in zones.items() if n != number}
+        self.order = list(self.members)
+        self.start, self.incarnation, self.state, self.bumped = start, 0, ALIVE, False
+        self.health, self.sequence, self.stamp, self.began = 0, chance.below(1 << 30), 0, now
+        self.told_of_me = {"zone": wire.zone_mark(zones[number]), "version": 0, "settings": 0, "revision": 0,
+                           "build": 0, "stage": 0, "phase": 0, "out": 0, "admitted": 255, "flags": 0}
+        self.news, self.drains = None, ()              # to ride along: news.py
+        self.hearsay = None                            # called with (member, news or None, drains) of each datagram
+        self.probe, self.next_probe = None, now + chance.below(settings.period) + 1
+        self.round, self.reach_round = [], []          # whom to probe, whom to reach for, in a drawn order
+        self.telling = {}                              # number -> times told
+        self.relays = {}                               # sequence -> (who asks, its sequence, about whom, nack at, end)
+        self.cursor, self.hash = 0, self.row_hash(number)
+        self.out, self.changes, self.replaced = [], [], False
+        self.picture = Picture(self)
+        self.counts = {"pings": 0, "asked": 0, "heard": 0, "old": 0, "flood": 0, "strangers": 0, "refuted": 0,
+                       "probes failed": 0, "stood still": 0}
+
+    # --- figures -----------------------------------------------------------------------------------------------
+
+    def living(self) -> dict[int, int]:
+        """Who is there, ours included: number -> start."""
+        return {n: m.start for n, m in self.members.items() if m.there} | (
+            {self.number: self.start} if self.state == ALIVE else {})
+
+    def size(self) -> int:
+        return 1 + sum(m.there for m in self.members.values())
+
+    def slowed(self, time: int) -> int:
+        """A wait as long as our own health asks for: who is slow itself doubts others later."""
+        return time * (1 + self.health)
+
+    def suspicion(self, doubters: int) -> int:
+        """How long a suspicion lasts with so many who doubt."""
+        size = self.size()
+        least = int(ALPHA * max(1.0, log10(max(1, size))) * self.settings.period)
+        most, wanted = self.settings.beta * least, min(DOUBTS, size - 2)
+        if wanted < 1:
+            return least
+        return max(least, int(most - (most - least) * log(doubters) / log(wanted + 1)))
+
+    def tellings(self) -> int:
+        return TELLINGS * ceil(log10(self.size() + 1))
+
+    def feel(self, step: int) -> None:
+        if not self.settings.plain:
+            self.health = min(HEALTH_MOST, max(0, self.health + step))
+
+    def row_hash(self, number: int) -> int:
+        """Of one row of the table; all of them, folded by exclusive or, are the digest of a view."""
+        if number == self.number:
+            what = number, self.start, self.incarnation, CODES[self.state]
+        else:
+            member = self.members[number]
+            if member.state == UNHEARD:
+                return 0
+            what = number, *member.mark, CODES[member.state]
+        return wire.crc32(wire.pack(">HQIB", *what))
+
+    # --- changes -----------------------------------------------------------------------------------------------
+
+    def alter(self, member: Member, cause: str, now: int, by: int, start: int, incarnation: int) -> None:
+        self.hash ^= self.row_hash(member.number)
+        life = member.start
+        before = change(member, cause, now, by, start, incarnation)
+        self.hash ^= self.row_hash(member.number)
+        if member.state == SUSPECT:
+            member.doubters, member.doubted_at = {}, now
+            self.doubt(member, by, now)
+        if not member.there:
+            member.reached, member.missed = None, 0
+        if member.state != before or member.start != life:
+            self.changes.append((member, before))
+        self.telling[member.number] = 0
+
+    def doubt(self, member: Member, by: int, now: int) -> None:
+        """One more who doubts: the suspicion gets shorter, though it never ends in the past."""
+        member.doubters[by] = True
+        member.until = max(now, member.doubted_at + self.suspicion(len(member.doubters)))
+
+    def more_doubt(self, member: Member, by: int, now: int) -> None:
+        """Told on (Lifeguard's dogpile): others' waits get shorter too; so many confirmations and no more."""
+        if by not in member.doubters and len(member.doubters) <= DOUBTS and not self.settings.plain:
+            self.doubt(member, by, now)
+            self.telling[member.number] = 0
+
+    def raise_self(self, incarnation: int, start: int | None = None) -> None:
+        self.hash ^= self.row_hash(self.number)
+        self.incarnation = incarnation
+        if start is not None:
+            self.start = start
+        self.hash ^= self.row_hash(self.number)
+        self.telling[self.number] = 0
+
+    def doubted_of_me(self, start: int, incarnation: int, state: str) -> None:
+        """What others say of us that does not hold. A newer start of our name is our own former life where a clock
+        went back: outbid once. One that outbids us again lives: the newer one stays, and it is not us."""
+        if start > self.start:
+            if self.bumped:
+                self.replaced = True
+            else:
+                self.bumped = True
+                self.raise_self(0, start + 1)
+        elif start == self.start and state != ALIVE and incarnation >= self.incarnation and self.state == ALIVE:
+            self.counts["refuted"] += 1
+            self.feel(1)                               # they could not hear us: it may be us
+            self.raise_self(incarnation + 1)
+
+    def told(self, now: int, number: int, start: int, incarnation: int, state: str, by: int) -> None:
+        """One row of another's table."""
+        if number == self.number:
+            self.doubted_of_me(start, incarnation, state)
+            return
+        member = self.members.get(number)
+        if member is None:
+            self.counts["strangers"] += 1
+        elif member.newer(state, start, incarnation):
+            self.alter(member, CAUSE_OF[state], now, by, start, incarnation)
+        elif state == SUSPECT == member.state and (start, incarnation) == member.mark:
+            self.more_doubt(member, by, now)
+
+    # --- what is sent ------------------------------------------------------------------------------------------
+
+    def row_of(self, number: int, doubter: int | None = None) -> bytes:
+        if number == self.number:
+            return wire.row(number, self.start, self.incarnation, self.state, number)
+        member = self.members[number]
+        if member.state == SUSPECT and member.doubters:      # in turn: each of those who doubt is heard of
+            doubters = list(member.doubters)
+            by = doubters[member.given % len(doubters)]
+            member.given += 1
+        else:
+            by = member.by if member.by is not None else self.number
+        return wire.row(number, *member.mark, member.state, by)
+
+    def rows_for(self, receiver: int, room: int, differs: bool) -> bytes:
+        """The buddy's row first (Lifeguard: who is suspect learns of it by the next datagram), then what is told
+        the least often, then, where the views differ, the table in turn."""
+        most, chosen = room // wire.ROW_SIZE, []
+        target = self.members[receiver]
+        if target.state in (SUSPECT, FAILED, LEFT) and not (self.settings.plain and target.state == SUSPECT):
+            chosen.append(receiver)
+        limit = self.tellings()
+        for number in sorted(self.telling, key=self.telling.get):
+            if len(chosen) >= most:
+                break
+            if number not in chosen:
+                chosen.append(number)
+                self.telling[number] += 1
+        for number in [n for n, times in self.telling.items() if times >= limit]:
+            del self.telling[number]
+        if differs:
+            for _ in self.members:
+                if len(chosen) >= most:
+                    break
+                number = self.order[self.cursor % len(self.order)]
+                self.cursor += 1
+                if number not in chosen and self.members[number].state != UNHEARD:
+                    chosen.append(number)
+        return b"".join(self.row_of(number) for number in chosen[:most])
+
+    def send(self, kind: int, receiver: int, sequence: int, about: int | None = None, differs=False) -> None:
+        self.stamp += 1
+        facts = {**self.told_of_me, "start": self.start, "incarnation": self.incarnation, "state": CODES[self.state]}
+        fields = wire.self_field(facts) + wire.field(wire.DIGEST, wire.pack(">I", self.hash))
+        if about is not None:
+            fields += wire.field(wire.ABOUT, wire.pack(">H", about))
+        if self.news is not None:
+            fields += wire.news_field(*self.news)
+        if self.drains:
+            fields += wire.drains_field(self.drains[:wire.DRAINS_MOST])
+        rows = self.rows_for(receiver, wire.MOST - wire.BEGIN - len(fields) - 2, differs)
+        if rows:
+            fields += wire.field(wire.ROWS, rows)
+        self.out.append((receiver, wire.sealed(kind, self.number, receiver, sequence, self.stamp, fields)))
+
+    def ping(self, receiver: int) -> int:
+        self.sequence = (self.sequence + 1) & 0xffffffff
+        self.counts["pings"] += 1
+        self.send(wire.PING, receiver, self.sequence)
+        return self.sequence
+
+    # --- what comes in -----------------------------------------------------------------------------------------
+
+    def heard(self, now: int, sender: int, data: bytes) -> None:
+        """One datagram from the address of a member. Raises wire.Odd on what is not read; nothing of it is kept."""
+        member = self.members.get(sender)
+        if member is None:
+            raise wire.Odd("stranger")
+        if now - member.spent_at >= self.settings.period:    # guards against floods: before anything is worked out
+            member.spent, member.spent_at = 0, now
+        member.spent += 1
+        if member.spent > EACH_PERIOD:
+            self.counts["flood"] += 1
+            return
+        kind, sequence, stamp, fields = wire.opened(sender, self.number, data)
+        facts, rows = wire.facts_of(fields), wire.rows_of(fields)
+        about, digest = wire.number_of(fields, wire.ABOUT, ">H"), wire.number_of(fields, wire.DIGEST, ">I")
+        news, drains = wire.news_of(fields), wire.drains_of(fields)
+        self.counts["heard"] += 1
+        self.feel(member.missed)
+        member.missed = 0
+        fresh = facts["start"] > member.start or facts["start"] == member.start and (
+            member.stamp is None or stamp > member.stamp)
+        self.told(now, sender, facts["start"], facts["incarnation"], wire.NAMES[facts["state"]], sender)
+        if fresh and facts["start"] == member.start:
+            member.facts, member.stamp, member.heard_at = facts, stamp, now
+            if self.hearsay is not None:
+                self.hearsay(member, news, drains)
+        elif facts["start"] < member.start:
+            self.counts["old"] += 1                    # a former life's, late or replayed: its word is not taken
+            return
+        else:
+            self.counts["old"] += 1
+        for told in rows:
+            self.told(now, *told)
+        if facts["state"] == CODES[LEFT]:
+            return
+        differs = digest is not None and digest != self.hash
+        if kind == wire.PING:
+            self.send(wire.ACK, sender, sequence, differs=differs)
+        elif kind == wire.ACK:
+            self.acked(now, sender, sequence, about)
+        elif kind == wire.ASK and about in self.members and len(self.relays) < RELAYED:
+            relayed = self.ping(about)
+            wait = self.settings.wait
+            self.relays[relayed] = sender, sequence, about, now + int(NACK_SHARE * wait), now + self.settings.period
+        elif kind == wire.NACK and self.probe is not None and sequence == self.probe.sequence and (
+                sender in self.probe.helpers):
+            self.probe.nacks[sender] = True
+
+    def acked(self, now: int, sender: int, sequence: int, about: int | None) -> None:
+        relay = self.relays.get(sequence)
+        if relay is not None and relay[2] == sender and about is None:
+            del self.relays[sequence]
+            self.send(wire.ACK, relay[0], relay[1], sender)
+            return
+        probe = self.probe
+        if probe is None or sequence != probe.sequence:
+            return
+        if about is None and sender == probe.member.number:
+            probe.reached = DIRECT
+        elif about == probe.member.number and sender in probe.helpers and probe.reached is None:
+            probe.reached = HELPED
+        self.picture.helper(now, sender)
+
+    # --- time --------------------------------------------------------------------------------------------------
+
+    def next_at(self) -> int:
+        """When `tick` is due next."""
+        at = [self.next_probe]
+        if self.probe is not None:
+            at.append(self.probe.ask_at if self.probe.asked is None else self.probe.end_at)
+            at.append(self.probe.end_at)
+        at += [m.until for m in self.members.values() if m.state == SUSPECT]
+        at += [relay[3] if relay[3] is not None else relay[4] for relay in self.relays.values()]
+        return min(at)
+
+    def tick(self, now: int) -> None:
+        if self.state != ALIVE:
+            return
+        due = self.next_at()
+        if now < due:
+            return
+        late = now - due
+        if late > STOOD_STILL * self.settings.wait and not self.settings.plain:
+            self.stood_still(now, late)
+            return
+        self.nack(now)
+        probe = self.probe
+        if probe is not None and probe.asked is None and now >= probe.ask_at:
+            probe.asked = now
+            if probe.reached is None:
+                self.ask(probe)
+        if probe is not None and now >= probe.end_at:
+            self.end_probe(now)
+        for member in [m for m in self.members.values() if m.state == SUSPECT]:
+            if now >= member.until:
+                self.alter(member, RAN_OUT, now, self.number, *member.mark)
+        if self.probe is None and now >= self.next_probe:
+            self.begin_probe(now)
+
+    def stood_still(self, now: int, late: int) -> None:
+        """Guards against a process that was stopped, or a clock that jumped: what it would call overdue it has not
+        had time to hear. Its own probe counts for nothing, and every suspicion is as much longer."""
+        self.counts["stood still"] += 1
+        self.feel(1)
+        self.probe, self.next_probe = None, now + self.settings.wait
+        self.relays = {}
+        for member in self.members.values():
+            if member.state == SUSPECT:
+                member.until += late
+
+    def nack(self, now: int) -> None:
+        for sequence, (asker, asked, about, nack_at, end) in list(self.relays.items()):
+            if now >= end:
+                del self.relays[sequence]
+            elif nack_at is not None and now >= nack_at:
+                self.relays[sequence] = asker, asked, about, None, end
+                if not self.settings.plain:
+                    self.send(wire.NACK, asker, asked, about)
+
+    def begin_probe(self, now: int) -> None:
+        self.reach(now)
+        member = self.next_of_round()
+        if member is None:
+            self.next_probe = now + self.settings.period
+            return
+        period = self.slowed(self.settings.period)
+        self.next_probe = now + period
+        self.probe = Probe(member, 0, now, self.slowed(self.settings.wait), period)
+        self.probe.sequence = self.ping(member.number)
+
+    def next_of_round(self) -> Member | None:
+        """Each member that is there once a round, in an order drawn anew each time: a failed one is met within two
+        rounds (SWIM, 4.3)."""
+        for _ in range(2):
+            while self.round:
+                member = self.members[self.round.pop()]
+                if member.there:
+                    return member
+            self.round = self.drawn([n for n, m in self.members.items() if m.there])
+        return None
+
+    def drawn(self, numbers: list) -> list:
+        for last in range(len(numbers) - 1, 0, -1):
+            other = self.chance.below(last + 1)
+            numbers[last], numbers[other] = numbers[other], numbers[last]
+        return numbers
+
+    def reach(self, now: int) -> None:
+        """Asks who was never heard, or has failed: so a newcomer finds whoever lives, and a split heals."""
+        alone = not any(m.there for m in self.members.values())
+        for _ in range(REACHES if alone else 1):
+            while self.reach_round and self.members[self.reach_round[-1]].state not in (UNHEARD, FAILED):
+                self.reach_round.pop()
+            if not self.reach_round:
+                self.reach_round = self.drawn([n for n, m in self.members.items() if m.state in (UNHEARD, FAILED)])
+            if self.reach_round:
+                self.ping(self.reach_round.pop())
+
+    def ask(self, probe: Probe) -> None:
+        """Helpers of every zone there is, as far as their number goes: what a zone's silence means is told by who
+        hears it and who does not."""
+        numbers = self.drawn([n for n, m in self.members.items() if m.state == ALIVE and m is not probe.member])
+        seen, first = {self.zones[self.number]: True}, []
+        for number in numbers:
+            if self.zones[number] not in seen:
+                seen[self.zones[number]] = True
+                first.append(number)
+        helpers = [*first, *[n for n in numbers if n not in first]][:HELPERS]
+        for helper in helpers:
+            probe.helpers[helper] = True
+            self.counts["asked"] += 1
+            self.send(wire.ASK, helper, probe.sequence, probe.member.number)
+
+    def end_probe(self, now: int) -> None:
+        probe, self.probe = self.probe, None
+        member = probe.member
+        if probe.reached is not None:
+            self.feel(-1)
+            self.picture.enter(member, probe.reached, now)
+            return
+        self.counts["probes failed"] += 1
+        if not probe.helpers:
+            self.feel(1)
+        for helper in probe.helpers:                   # charged once it is heard again: what a dead helper does not
+            if helper not in probe.nacks:              # say is no sign of our own health (ours; Lifeguard charges it)
+                self.members[helper].missed = 1
+        self.picture.enter(member, LOST if probe.nacks else MUTE, now)
+        if member.state == ALIVE:
+            self.alter(member, DOUBTED, now, self.number, *member.mark)
+        elif member.state == SUSPECT:
+            self.more_doubt(member, self.number, now)
+
+    # --- the end -----------------------------------------------------------------------------------------------
+
+    def leave(self) -> None:
+        """In order: told, not suspected. Called again it tells others; who was told tells on."""
+        self.hash ^= self.row_hash(self.number)
+        self.state = LEFT
+        self.hash ^= self.row_hash(self.number)
+        for number in self.drawn([n for n, m in self.members.items() if m.there])[:2 * HELPERS]:
+            self.send(wire.LEAVE, number, 0)
--- /dev/null
+++ b/cobaltpond/members/wire.py
@@ -0,0 +1,140 @@
+"""Datagrams between gateways: at most 256 bytes with the six of `gateway/peers.py`. Free of I/O.
+
+    version (major << 4 | minor)   1 byte     another major is not read, another minor is
+    kind                           1          what is asked or answered
+    checksum                       4          crc32 of sender, receiver and all that follows
+    receiver                       2          guards against an address that changed hands
+    sequence                       4          an answer repeats that of its question
+    stamp                          4          of this start, rising: an old datagram's facts are not taken for new
+    fields: tag 1, length 1, value            a tag that is not known is skipped, a longer value read as far as known
+"""
+from struct import calcsize, pack, unpack, unpack_from
+from zlib import crc32
+
+from cobaltpond.members.states import CODES, NAMES, UNHEARD
+
+MAJOR, MINOR = 1, 0
+PING, ACK, ASK, NACK, LEAVE = 1, 2, 3, 4, 5
+MOST = 250                                             # of a datagram's 256 bytes, what is left for us
+HEAD = ">BBIHII"
+BEGIN = calcsize(HEAD)
+SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST = 1, 2, 3, 4, 5, 6
+# start (microseconds of the calendar), incarnation, state, zone, version, settings, list's revision, build, stage,
+# phase, hits out, share let in (of 255), flags
+FACTS = ">QIBIHIIIBBHBB"
+FACT_NAMES = ("start", "incarnation", "state", "zone", "version", "settings", "revision", "build", "stage", "phase",
+              "out", "admitted", "flags")
+READY, DRAINING, ALONE = 1, 2, 4
+ROW = ">HQIBH"                                         # number, start, incarnation, state, who says so
+ROW_SIZE = calcsize(ROW)
+NEWS_FORM = ">IBBHI"                                   # build, stage, phase, cap of 65535, age in milliseconds
+DRAINS_MOST = 6
+
+
+class Odd(Exception):
+    """A datagram that is not read: the text is one of a few words, fit to be counted."""
+
+
+def zone_mark(zone: str) -> int:
+    return crc32(zone.encode())
+
+
+def field(tag: int, value: bytes) -> bytes:
+    return pack(">BB", tag, len(value)) + value
+
+
+def sealed(kind: int, sender: int, receiver: int, sequence: int, stamp: int, fields: bytes) -> bytes:
+    """A whole datagram. Raises ValueError where it is too long."""
+    if BEGIN + len(fields) > MOST:
+        raise ValueError(f"{BEGIN + len(fields)} bytes")
+    rest = pack(">HII", receiver, sequence, stamp) + fields
+    check = crc32(pack(">HBB", sender, MAJOR << 4 | MINOR, kind) + rest)
+    return pack(">BBI", MAJOR << 4 | MINOR, kind, check) + rest
+
+
+def opened(sender: int, receiver: int, data: bytes) -> tuple[int, int, int, dict]:
+    """(kind, sequence, stamp, {tag: value}). Raises Odd."""
+    if len(data) < BEGIN or len(data) > MOST:
+        raise Odd("length")
+    version, kind, check, to, sequence, stamp = unpack_from(HEAD, data)
+    if version >> 4 != MAJOR:
+        raise Odd("version")
+    if check != crc32(pack(">HBB", sender, version, kind) + data[6:]):
+        raise Odd("checksum")
+    if to != receiver:
+        raise Odd("receiver")
+    fields, at = {}, BEGIN
+    while at < len(data):
+        if at + 2 > len(data) or at + 2 + data[at + 1] > len(data):
+            raise Odd("field")
+        fields.setdefault(data[at], data[at + 2:at + 2 + data[at + 1]])
+        at += 2 + data[at + 1]
+    return kind, sequence, stamp, fields
+
+
+def self_field(facts: dict) -> bytes:
+    return field(SELF, pack(FACTS, *(facts[name] for name in FACT_NAMES)))
+
+
+def facts_of(fields: dict) -> dict:
+    """Raises Odd: who says nothing of itself is nobody."""
+    value = fields.get(SELF, b"")
+    if len(value) < calcsize(FACTS):
+        raise Odd("field")
+    facts = dict(zip(FACT_NAMES, unpack_from(FACTS, value), strict=True))
+    if NAMES.get(facts["state"], UNHEARD) == UNHEARD:
+        raise Odd("field")
+    return facts
+
+
+def row(number: int, start: int, incarnation: int, state: str, by: int) -> bytes:
+    return pack(ROW, number, start, incarnation, CODES[state], by)
+
+
+def rows_of(fields: dict) -> list[tuple]:
+    """(number, start, incarnation, state, who says so). Raises Odd."""
+    value = fields.get(ROWS, b"")
+    if len(value) % ROW_SIZE:
+        raise Odd("field")
+    rows = [unpack(ROW, value[at:at + ROW_SIZE]) for at in range(0, len(value), ROW_SIZE)]
+    if any(NAMES.get(told[3], UNHEARD) == UNHEARD for told in rows):
+        raise Odd("field")
+    return [(*told[:3], NAMES[told[3]], told[4]) for told in rows]
+
+
+def number_of(fields: dict, tag: int, form: str) -> int | None:
+    """The one number of a field, None where there is no such field. Raises Odd."""
+    value = fields.get(tag)
+    if value is None:
+        return None
+    if len(value) < calcsize(form):
+        raise Odd("field")
+    return unpack_from(form, value)[0]
+
+
+def news_field(build: int, stage: int, phase: int, cap: float, age: int) -> bytes:
+    """`age`: microseconds since the desk began this phase and stage."""
+    return field(NEWS, pack(NEWS_FORM, build, stage, phase, round(cap * 65535), min(age // 1000, 0xffffffff)))
+
+
+def news_of(fields: dict) -> tuple | None:
+    """(build, stage, phase, cap, age). Raises Odd."""
+    value = fields.get(NEWS)
+    if value is None:
+        return None
+    if len(value) < calcsize(NEWS_FORM):
+        raise Odd("field")
+    build, stage, phase, cap, age = unpack_from(NEWS_FORM, value)
+    return build, stage, phase, cap / 65535, age * 1000
+
+
+def drains_of(fields: dict) -> list[int]:
+    """Tags of instances (`decisions/told.py`). Raises Odd."""
+    value = fields.get(DRAINS, b"")
+    if len(value) % 4 or len(value) > 4 * DRAINS_MOST:
+        raise Odd("field")
+    return list(unpack(f">{len(value) // 4}I", value))
+
+
+def drains_field(tags) -> bytes:
+    return field(DRAINS, pack(f">{len(tags)}I", *tags))
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -1,6 +1,8 @@
 """What a sheet consists of: one frozen record a call of the Starlark file. Times are whole microseconds."""
 from typing import Annotated, Literal
+from zlib import crc32
 
+import msgspec
 from msgspec import Meta, Struct
 
 from cobaltpond.wire.address import split_address  # noqa: F401  (known by this name all over)
@@ -178,11 +180,13 @@
 
 
 class GatewayPlace(Part, kw_only=True):
-    """`door` for clients, `peers` for datagrams of other gateways, `memory`: the file of the kept list."""
+    """`door` for clients, `peers` for datagrams of other gateways (`bind`: where it takes them itself, if they come
+    another way than straight), `memory`: the file of the kept list."""
     number: Many
     zone: Name
     door: Address
     peers: Address | None = None
+    bind: Address | None = None
     memory: str | None = None
 
     def wrong(self, sheet):
@@ -192,6 +196,29 @@
             return f"two gateways at {self.door}"
 
 
+class Membership(Part, kw_only=True):
+    """Gateways that know each other (docs/members.md). `period`: one probe so often; `wait`: for its answer, before
+    others are asked to help; `judges`: of a build are chosen among those who are there."""
+    period: Span = 1_000_000
+    wait: Span = 300_000
+    judges: bool = True
+
+    def wrong(self, sheet):
+        if 3 * self.wait > self.period:
+            return "wait may be a third of period at most: helpers need as long again, and back"
+        if len(sheet["gateway"]) < 2:
+            return "membership needs two gateways above this line"
+        without = [g.number for g in sheet["gateway"] if g.peers is None]
+        if without:
+            return f"gateway {without[0]} has no address for datagrams: give it peers = \"host:port\""
+        doubled = [g.peers for n, g in enumerate(sheet["gateway"]) if g.peers in [
+            other.peers for other in sheet["gateway"][:n]]]
+        if doubled:
+            return f"two gateways take datagrams at {doubled[0]}"
+        if len(sheet["gateway"]) > 65_535:
+            return "more than 65535 gateways"
+
+
 class Builds(Part, kw_only=True):
     """Where agents get builds, and what they may cost. `keys`: the file of the first key ring; `rate`: bytes a
     second, 0 for no bound; `most`: bytes of the store."""
@@ -238,9 +265,16 @@
     desk: DeskAddress
     builds: Builds | None = None
     hosts: tuple[Host, ...] = ()
+    members: Membership | None = None
     tick: int = 1000
     over_share_benefit: float = 0.1
 
+    def digest(self) -> int:
+        """Of all that the gateways must have alike; where each of them stands does not count."""
+        alike = msgspec.structs.replace(self, gateways=tuple(
+            GatewayPlace(number=g.number, zone=g.zone, door="0.0.0.0:0") for g in self.gateways))
+        return crc32(msgspec.json.encode(alike))
+
     @property
     def zones(self) -> list[str]:
         return list(dict.fromkeys(g.zone for g in self.gateways))
--- a/cobaltpond/sim/net.py
+++ b/cobaltpond/sim/net.py
@@ -21,14 +21,29 @@
     def __init__(self, delay: tuple[int, int]):
         self.delay, self.cuts, self.slow = delay, 0, 1.0
         self.lose, self.repeat, self.shuffle = 0.0, 0.0, 0.0  # shares of datagrams
+        self.deaf = {}                                 # names of processes that nothing reaches over this link
         self.healed = []                               # called when the last cut ends
 
     def cut(self, begins: bool) -> None:
         self.cuts += 1 if begins else -1
         if not self.cuts:
-            waiting, self.healed = self.healed, []
-            for call in waiting:
-                call()
+            self.heal()
+
+    def one_way(self, to: str, begins: bool) -> None:
+        """Nothing comes to `to` any more; what it sends itself comes through."""
+        if begins:
+            self.deaf[to] = True
+        else:
+            self.deaf.pop(to, None)
+            self.heal()
+
+    def heal(self) -> None:
+        waiting, self.healed = self.healed, []
+        for call in waiting:
+            call()
+
+    def blocked(self, to: str) -> bool:
+        return self.cuts > 0 or to in self.deaf
 
 
 def part_of(name: str) -> str:
@@ -77,7 +92,8 @@
         if stream.closed or stream.state != "dialling":
             return
         listener = self.listeners.get(address)
-        if stream.link.cuts or self.silent.get(stream.there) or listener is not None and listener.full():
+        lost = stream.link.blocked(stream.there) or self.silent.get(stream.there)
+        if lost or listener is not None and listener.full():
             self.syn_lost(stream, address, attempt)
             return
         if listener is None or self.refusing.get(stream.there):
@@ -133,7 +149,7 @@
         self.busy = False
         if not self.pieces:
             return
-        if self.link.cuts:
+        if self.link.blocked(self.sink.kernel.process.name):
             if self.pieces[0][0] == "reset":           # nobody sends a reset again: the peer stays half-open
                 self.pieces.popleft()
             else:
@@ -397,7 +413,7 @@
         if target is None:
             return True
         link = network.link(self.kernel.process.name, target.kernel.process.name)
-        if link.cuts or network.chance.random() < link.lose:
+        if link.blocked(target.kernel.process.name) or network.chance.random() < link.lose:
             return True
         for _ in range(2 if network.chance.random() < link.repeat else 1):
             delay = network.delay(link)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -333,10 +333,10 @@
 
 def test_rooms_import_only_from_rooms_below():
     """The order of docs/architecture.md."""
-    order = ["decisions", "benchlink", "loop", "wire", "sheet", "keep", "calls", "builds", "audit", "gateway", "edge",
-             "desk", "agent", "standins", "day", "sim", "cli"]
+    order = ["decisions", "benchlink", "loop", "wire", "sheet", "keep", "calls", "builds", "audit", "members",
+             "gateway", "edge", "desk", "agent", "standins", "day", "sim", "cli"]
     alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
-             "audit": {"audit"}, "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
+             "audit": {"audit"}, "members": {"members", "loop"}, "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
              "builds": {"builds", "loop", "wire"},
              "desk": {"desk", "builds", "keep", "loop", "wire", "sheet", "calls"},
              "agent": {"agent", "builds", "keep", "loop", "wire", "sheet", "calls"},
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,498 @@
+"""Membership: the table, the datagram, hearsay, and whole societies of its service on the virtual kernel."""
+import os
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cobaltpond.decisions.figures import lot
+from cobaltpond.decisions.records import Chance
+from cobaltpond.members import wire
+from cobaltpond.members.compare import compare, lines, some
+from cobaltpond.members.hearsay import Hearsay
+from cobaltpond.members.picture import ALONE, CUT_OFF, FINE, GONE
+from cobaltpond.members.states import (
+    ALIVE,
+    CAUSE_OF,
+    FAILED,
+    HEARD,
+    LEFT,
+    NEXT,
+    RAN_OUT,
+    SUSPECT,
+    UNHEARD,
+    Member,
+    change,
+)
+from cobaltpond.members.view import EACH_PERIOD, Settings, View
+from cobaltpond.sim.society import SECOND, Society
+
+EXAMPLES = int(os.environ.get("COBALTPOND_EXAMPLES", "60"))
+BRISK = Settings(200_000, 60_000)
+
+
+# --- the table -------------------------------------------------------------------------------------------------
+
+def test_every_change_goes_by_the_table_and_a_failed_one_comes_back_only_by_its_own_word():
+    member = Member(3, "a", 0)
+    assert change(member, HEARD, 5, 3, 100, 0) == UNHEARD and member.state == ALIVE
+    change(member, "doubted", 6, 1, 100, 0)
+    change(member, RAN_OUT, 7, 1, 100, 0)
+    assert (member.state, member.since) == (FAILED, 7)
+    with pytest.raises(RuntimeError):
+        change(member, RAN_OUT, 8, 1, 100, 0)
+    assert not member.newer(ALIVE, 100, 0) and not member.newer(SUSPECT, 100, 0)
+    assert member.newer(ALIVE, 100, 1) and member.newer(ALIVE, 101, 0) and not member.newer(ALIVE, 99, 9)
+    member.facts = {"out": 3}
+    change(member, HEARD, 9, 3, 101, 0)
+    assert member.facts == {} and member.state == ALIVE
+
+
+def test_whoever_left_stays_so_until_another_start():
+    member = Member(3, "a", 0)
+    change(member, HEARD, 1, 3, 100, 4)
+    change(member, "told left", 2, 3, 100, 4)
+    assert not member.newer(FAILED, 100, 4) and not member.newer(ALIVE, 100, 4) and member.newer(ALIVE, 101, 0)
+
+
+ROWS = st.tuples(st.integers(1, 4), st.integers(1, 3), st.integers(0, 3),
+                 st.sampled_from([ALIVE, SUSPECT, FAILED, LEFT]), st.integers(1, 4))
+
+
+@settings(max_examples=EXAMPLES, deadline=None)
+@given(st.lists(ROWS, max_size=40), st.randoms())
+def test_views_told_the_same_in_any_order_end_alike_and_as_the_plain_model(rows, dice):
+    """The plain model: of all that was said of a member the greatest (start, incarnation, rank) holds."""
+    rank = {ALIVE: 0, SUSPECT: 1, FAILED: 2, LEFT: 3}
+    best = {}
+    for number, start, incarnation, state, _ in rows:
+        best[number] = max(best.get(number, (0, 0, -1)), (start, incarnation, rank[state]))
+    for _ in range(2):
+        view = View(0, dict.fromkeys(range(5), "a"), Settings(), Chance(1), 50, 0)
+        for row in rows:
+            view.told(10, *row)
+        assert {n: (m.start, m.incarnation, rank[m.state]) for n, m in view.members.items()
+                if m.state != UNHEARD} == best
+        again = 0
+        for n in view.zones:
+            again ^= view.row_hash(n)
+        assert view.hash == again                      # kept up step by step, it is what it would be anew
+        dice.shuffle(rows)
+
+
+def test_the_table_knows_every_cause_that_words_can_bring():
+    for state, nexts in NEXT.items():
+        assert set(CAUSE_OF.values()) <= set(nexts), state
+
+
+# --- the datagram ----------------------------------------------------------------------------------------------
+
+def pair(zones="ab", settings=BRISK):
+    names = {n: zones[n % len(zones)] for n in range(4)}
+    return [View(n, names, settings, Chance(n + 1), 1000 + n, 0) for n in range(4)]
+
+
+def datagram(view, to=1, kind=wire.PING):
+    view.send(kind, to, 77)
+    return view.out.pop()[1]
+
+
+def test_no_datagram_is_longer_than_the_platform_allows_however_much_there_is_to_tell():
+    zones = {n: "a" for n in range(400)}
+    view = View(0, zones, Settings(), Chance(1), 9, 0)
+    for n in range(1, 400):
+        view.told(1, n, 5, 0, ALIVE if n % 3 else SUSPECT, n)
+    view.news, view.drains = (7, 1, 0, 0.4, 3_000_000), list(range(20))
+    for kind in (wire.PING, wire.ASK):
+        view.send(kind, 3, 1, about=5, differs=True)
+    sizes = [len(data) for _, data in view.out]
+    assert max(sizes) <= 250 and min(sizes) > 200
+    other = View(3, zones, Settings(), Chance(1), 9, 0)
+    heard = []
+    other.hearsay = lambda member, news, drains: heard.append((member.number, news, drains))
+    other.heard(5, 0, view.out[0][1])
+    assert heard == [(0, (7, 1, 0, pytest.approx(0.4, abs=1e-4), 3_000_000), list(range(wire.DRAINS_MOST)))]
+    assert sum(m.state != UNHEARD for m in other.members.values()) >= 5
+
+
+@pytest.mark.parametrize("spoil, why", [
+    (lambda d: b"", "length"), (lambda d: d[:-1], "checksum"), (lambda d: d + b"\0", "checksum"),
+    (lambda d: d[:10] + bytes([d[10] ^ 1]) + d[11:], "checksum"), (lambda d: bytes([0x25]) + d[1:], "version"),
+    (lambda d: d + bytes(260), "length"), (lambda d: b"\xff" * len(d), "version")])
+def test_what_is_garbled_is_dropped_and_nothing_of_it_kept(spoil, why):
+    one, two = pair()[:2]
+    with pytest.raises(wire.Odd, match=why):
+        two.heard(5, 0, spoil(datagram(one)))
+    assert all(m.state == UNHEARD for m in two.members.values()) and not two.out
+
+
+def test_anothers_datagram_is_not_taken():
+    one, two, three, _ = pair()
+    with pytest.raises(wire.Odd, match="checksum"):
+        two.heard(5, 2, datagram(one))                 # said to come from the third
+    with pytest.raises(wire.Odd, match="receiver"):
+        three.heard(5, 0, datagram(one))
+    with pytest.raises(wire.Odd, match="stranger"):
+        two.heard(5, 9, datagram(one))
+
+
+def test_a_newer_program_s_fields_are_skipped_and_longer_ones_read_as_far_as_known():
+    one, two = pair()[:2]
+    one.told_of_me["out"] = 41
+    fields = wire.self_field({**one.told_of_me, "start": 1000, "incarnation": 0, "state": 1})
+    longer = wire.field(wire.SELF, fields[2:] + b"later")
+    data = wire.sealed(wire.PING, 0, 1, 7, 1, wire.field(200, b"unknown") + longer + wire.field(wire.NEWS, bytes(20)))
+    newer = bytes([wire.MAJOR << 4 | 5]) + data[1:]
+    newer = newer[:2] + wire.pack(">I", wire.crc32(wire.pack(">HBB", 0, newer[0], newer[1]) + newer[6:])) + newer[6:]
+    for n, given_ in enumerate((data, newer)):
+        two.heard(5 + n, 0, given_)
+    assert two.members[0].state == ALIVE and two.members[0].facts["out"] == 41
+    assert len(two.out) == 2                           # both were answered
+
+
+@settings(max_examples=EXAMPLES, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 250), st.integers(0, 255))
+def test_the_reader_gives_fields_or_says_why_not(noise, at, byte):
+    one, two = pair()[:2]
+    whole = datagram(one)
+    at %= len(whole)
+    for data in (noise, whole[:at] + bytes([byte]) + whole[at + 1:], whole[:at], whole + noise,
+                 wire.sealed(wire.PING, 0, 1, 1, 1, noise[:200])):
+        try:
+            two.heard(5, 0, data)
+        except wire.Odd:
+            pass
+    assert len(two.members) == 3
+
+
+def test_a_replayed_or_overtaken_datagram_changes_no_facts_and_a_former_life_s_nothing():
+    one, two = pair()[:2]
+    one.told_of_me["out"] = 1
+    first = datagram(one)
+    one.told_of_me["out"] = 2
+    two.heard(5, 0, datagram(one))
+    two.heard(6, 0, first)
+    assert two.members[0].facts["out"] == 2 and two.counts["old"] == 1
+    two.told(7, 0, 2000, 0, ALIVE, 3)                  # a newer start is known by now
+    two.out.clear()
+    two.heard(8, 0, datagram(one))
+    assert two.members[0].start == 2000 and not two.out
+
+
+def test_a_flood_from_one_costs_no_more_than_its_share_of_a_period():
+    one, two = pair()[:2]
+    data = datagram(one)
+    for _ in range(1000):
+        two.heard(5, 0, data)
+    assert two.counts["heard"] == EACH_PERIOD and len(two.out) <= EACH_PERIOD and two.counts["flood"] > 900
+    two.heard(5 + two.settings.period, 0, data)
+    assert two.counts["heard"] == EACH_PERIOD + 1
+
+
+# --- hearsay ---------------------------------------------------------------------------------------------------
+
+def hearsay():
+    said = []
+    one = Hearsay(lambda *what: said.append(what))
+    member = Member(4, "a", 0)
+    change(member, HEARD, 0, 4, 1, 0)
+    member.facts = {"revision": 9}
+    return one, member, said
+
+
+TRIAL, RELEASED, BACK, GONE_ = 0, 1, 2, 3
+
+
+@pytest.mark.parametrize("own, told, shut", [
+    ((7, 1, "trial", 0.5), (7, 1, BACK, 0.0), True), ((7, 1, "released", 1.0), (7, 1, GONE_, 0.0), True),
+    ((7, 1, "trial", 0.5), (8, 0, BACK, 0.0), True), ((7, 1, "trial", 0.5), (7, 1, TRIAL, 0.2), True),
+    ((7, 1, "trial", 0.5), (7, 0, TRIAL, 0.2), False),           # its teller is behind
+    ((7, 1, "trial", 0.5), (6, 1, BACK, 0.0), False), ((7, 1, "trial", 0.5), (7, 1, RELEASED, 1.0), False),
+    ((7, 1, "trial", 0.5), (7, 2, TRIAL, 1.0), False), ((7, 1, "trial", 0.5), (8, 0, TRIAL, 1.0), False),
+    ((7, 1, "withdrawn", 0.0), (7, 1, BACK, 0.0), False), ((7, 1, "trial", 0.5), (7, 1, 9, 0.0), False)])
+def test_a_member_s_word_only_ever_shuts(own, told, shut):
+    one, member, said = hearsay()
+    one.news(100, *own, 50)
+    said.clear()
+    one.word(100, member, (*told, 10), [])
+    assert said == ([("on_shut", told[0])] if shut else [])
+
+
+def test_our_own_desk_ends_what_was_taken_on_another_s_word_and_it_is_not_taken_again():
+    one, member, said = hearsay()
+    one.news(100, 7, 1, "trial", 0.5, 50)
+    one.word(200, member, (7, 1, BACK, 0.0, 10), [])
+    assert one.say(300)[0] == (7, 1, BACK, 0.0, 110)   # told on, older by the time it lay here
+    one.news(400, 7, 1, "trial", 0.5, 350)
+    one.word(500, member, (7, 1, BACK, 0.0, 310), [])
+    assert said == [("on_shut", 7), ("on_shut", None)] and one.say(500)[0][2] == TRIAL
+
+
+def test_drains_are_taken_from_newer_lists_only_and_told_for_a_while():
+    one, member, said = hearsay()
+    one.listed(0, 9, [5])
+    one.word(1, member, None, [11])
+    assert said == []                                  # that list is as old as ours
+    member.facts["revision"] = 10
+    one.word(2, member, None, [11])
+    assert said == [("on_drains", [11])]
+    one.listed(3, 11, [5, 6])
+    assert one.say(4)[1] == [6, 5] and one.say(5_000_002)[1] == [6]
+
+
+def test_a_judge_s_place_falls_to_the_next_lot_and_hardly_anything_else_moves():
+    everybody = list(range(50))
+
+    def judges(build, living):
+        return sorted(living, key=lambda n: -lot(build, n))[:2]
+    times = {n: 0 for n in everybody}
+    for build in range(2000):
+        before = judges(build, everybody)
+        after = judges(build, [n for n in everybody if n != before[0]])
+        assert after[0] == before[1] and after[1] not in before
+        for n in before:
+            times[n] += 1
+    assert min(times.values()) > 40 and max(times.values()) < 130     # 80 on the mean
+
+
+# --- who is there in whose eyes --------------------------------------------------------------------------------
+
+def test_tables_side_by_side_name_who_differs_and_since_when():
+    def table(at, **states):
+        rows = [{"number": n, "zone": "a", "state": ALIVE, "start": 5, "since_us": 9_000_000, "settings": 1,
+                 "version": 2, "revision": 3 + (at == 2), "build": 1, "stage": 0, "phase": 1, "cause": "", "by": None}
+                for n in range(3)]
+        for name, state in states.items():
+            rows[int(name[1:])].update(state=state, since_us=2_000_000, cause="ran out", by=at)
+        return {"members": rows, "zones": {"a": "fine"}, "broken_links": []}
+    told = compare({0: table(0), 1: table(1), 2: table(2, m0=FAILED), 3: None})
+    assert told["silent"] == [3] and told["apart"]["revision"] == {"3": [0, 1], "4": [2]}
+    assert told["members"][0]["otherwise"] == {2: {"state": FAILED, "since_us": 2_000_000, "cause": "ran out", "by": 2}}
+    text = "\n".join(lines(told))
+    assert "no answer from: 3" in text and "but failed at gateway 2 for 2.0 s (ran out by 2)" in text
+    assert some([0, 1, 2, 5, 7, 8]) == "0-2, 5, 7-8"
+
+
+# --- societies on the virtual kernel ---------------------------------------------------------------------------
+
+def society(count, seed=1, zones=1, settings=BRISK, **more):
+    one = Society(count, seed, zones, settings, **more)
+    one.start_all()
+    one.run(1_100_000)
+    one.until(one.agree, 20 * SECOND)
+    return one
+
+
+def test_a_newcomer_that_knows_one_finds_all_and_all_find_it():
+    one = Society(12, 2, 1, BRISK)
+    for n in range(11):
+        one.start(n)
+    one.until(lambda: one.agree(numbers=range(11)), 20 * SECOND)
+    one.lossy()
+    for n in range(10):                                # to all but one of them it has no way at first
+        one.cut([11], [n], True)
+    one.start(11)
+    one.until(lambda: all(one.state(11, n) == ALIVE for n in range(11)), 10 * SECOND)
+    one.until(lambda: one.agree(), 10 * SECOND)
+    assert not one.world.troubles
+
+
+@pytest.mark.parametrize("killed", [1, 3, 21])
+def test_killed_ones_are_known_to_all_that_live_within_a_bound(killed):
+    one = society(30, 5, 3)
+    gone = list(range(killed))
+    one.signal("KILL", *gone)
+    living = one.living()
+    one.until(lambda: one.agree(FAILED, gone), 40 * BRISK.period)
+    assert {number for _, _, number in one.declared()} == set(gone)      # and nobody else
+    assert all(sorted(one.parts[n].members.view.living()) == living for n in living)
+    assert not one.world.troubles
+
+
+def test_whoever_is_stopped_in_order_is_told_of_and_never_suspected():
+    one = society(10, 3)
+    one.signal("TERM", 4)
+    one.until(lambda: one.agree(LEFT, [4], [n for n in range(10) if n != 4]), 10 * BRISK.period)
+    assert not [c for c in one.changes if c[2] == 4 and c[4] in (SUSPECT, FAILED)]
+    one.until(lambda: one.processes[4].code == 0, 10 * BRISK.period)
+    one.start(4)
+    one.until(lambda: one.agree(), 20 * BRISK.period)
+
+
+def test_one_that_stood_still_longer_than_a_suspicion_refutes_and_calls_nobody_dead():
+    one = society(10, 4)
+    one.signal("STOP", 6)
+    one.until(lambda: one.agree(FAILED, [6], [n for n in range(10) if n != 6]), 60 * BRISK.period)
+    at = one.world.time
+    one.signal("CONT", 6)
+    one.until(lambda: one.agree(), 20 * BRISK.period)
+    assert one.declared(at) == [] and one.parts[6].members.view.incarnation >= 1
+
+
+@pytest.mark.parametrize("lose, repeat, shuffle", [(0.1, 0, 0), (0.3, 0.3, 0.5), (0.6, 0.2, 0.2)])
+def test_loss_repetition_and_disorder(lose, repeat, shuffle):
+    one = society(12, 6, 2)
+    one.lossy(lose, repeat, shuffle)
+    one.run(30 * SECOND)
+    assert lose > 0.1 or one.declared() == []
+    assert lose > 0.3 or max(one.wrong(), default=0) < 15 * BRISK.period     # who answers is soon back
+    one.signal("KILL", 3)
+    one.until(lambda: one.agree(FAILED, [3]), 200 * BRISK.period)
+    one.lossy()
+    one.until(lambda: one.agree(numbers=[n for n in one.living()]), 60 * BRISK.period)
+
+
+def test_datagrams_that_come_seconds_late_bring_nobody_back():
+    one = society(8, 8)
+    one.lossy(delay=(2 * SECOND, 3 * SECOND))
+    one.run(3 * SECOND)
+    one.lossy(delay=(15, 60))
+    one.signal("KILL", 2)
+    one.until(lambda: one.agree(FAILED, [2]) and one.agree(), 80 * BRISK.period)
+    one.run(8 * SECOND)                                # what was on its way has come by now
+    assert one.agree(FAILED, [2]) and one.agree()
+
+
+def test_a_link_broken_one_way_is_named_and_nobody_is_called_failed():
+    one = society(9, 7, 3)
+    one.link(1, 5).one_way("gateway-1", True)          # 1 does not hear 5
+    one.until(lambda: one.parts[1].members.view.picture.links() == [5], 60 * BRISK.period)
+    one.run(20 * SECOND)
+    assert one.declared() == []
+    one.link(1, 5).one_way("gateway-1", False)
+    one.until(lambda: not one.parts[1].members.view.picture.links(), 60 * BRISK.period)
+
+
+def zones_seen(one, at):
+    return one.parts[at].members.view.picture.zones(one.world.time)
+
+
+def test_a_zone_gone_is_told_from_being_cut_off_oneself_and_both_heal():
+    one = society(12, 9, 3)
+    zone0, rest = [0, 3, 6, 9], [n for n in range(12) if n % 3]
+    one.cut(zone0, rest, True)
+    one.until(lambda: zones_seen(one, 1)["zone-0"] == GONE and zones_seen(one, 0)["zone-1"] == CUT_OFF
+              and one.parts[0].members.island and not one.parts[1].members.island, 60 * BRISK.period)
+    assert zones_seen(one, 1) == {"zone-0": GONE, "zone-1": FINE, "zone-2": FINE}
+    one.until(lambda: one.agree(FAILED, zone0, rest) and one.agree(FAILED, rest, zone0), 100 * BRISK.period)
+    one.cut(zone0, rest, False)
+    one.until(lambda: one.agree() and not one.parts[0].members.island, 40 * BRISK.period)
+
+
+def test_a_split_in_three_heals_though_each_side_has_restarted_some():
+    one = society(12, 10, 3)
+    sides = [[n for n in range(12) if n % 3 == side] for side in range(3)]
+    for a in range(3):
+        for b in range(a):
+            one.cut(sides[a], sides[b], True)
+    one.run(12 * SECOND)
+    one.signal("KILL", 0, 1, 2)
+    one.run(SECOND)
+    for n in (0, 1, 2):
+        one.start(n)
+    one.run(5 * SECOND)
+    for a in range(3):
+        for b in range(a):
+            one.cut(sides[a], sides[b], False)
+    one.until(lambda: one.agree(), 60 * BRISK.period)
+    assert not one.world.troubles
+
+
+def test_whoever_hears_nobody_says_that_it_is_alone_and_not_any_more_afterwards():
+    one = society(5, 11)
+    one.cut([2], [0, 1, 3, 4], True)
+    one.until(lambda: one.parts[2].members.alone, 30 * BRISK.period)
+    assert set(zones_seen(one, 2).values()) == {ALONE} and not one.parts[0].members.alone
+    one.cut([2], [0, 1, 3, 4], False)
+    one.until(lambda: not one.parts[2].members.alone and one.agree(), 40 * BRISK.period)
+
+
+def test_a_link_that_flaps_every_second_costs_nobody_its_place():
+    one = society(8, 12)
+    for second in range(20):
+        one.cut([1], [2], second % 2 == 0)
+        one.run(SECOND)
+    one.cut([1], [2], False) if one.link(1, 2).cuts else None
+    assert one.declared() == []
+
+
+def test_all_restarted_at_once_and_a_clock_that_jumped():
+    one = society(15, 13)
+    one.signal("KILL", *range(15))
+    one.start_all(within=300_000)
+    one.run(400_000)
+    one.until(lambda: one.agree(), 60 * BRISK.period)
+    at = one.world.time
+    one.processes[4].kernel.here += 30 * SECOND        # its clock is half a minute ahead from now on
+    one.processes[4].poke()
+    one.run(10 * SECOND)
+    assert one.agree() and one.declared(at) == []
+
+
+def test_of_two_with_one_name_the_newer_start_stays_and_the_other_says_why_it_ends():
+    one = society(5, 14, lines=True)
+    former, old = one.processes[3], one.parts[3]
+    view = one.parts[1].members.view                   # another process of the name has been heard elsewhere
+    newer = old.members.view.start + 10 * SECOND
+    view.told(view.began, 3, newer, 0, ALIVE, 3)
+    one.until(lambda: old.members.view.bumped, 60 * BRISK.period)
+    assert former.code is None                         # it may have been its own former life
+    view.told(view.began, 3, newer + 2, 0, ALIVE, 3)   # that one lives: it outbids in its turn
+    one.until(lambda: former.code is not None, 60 * BRISK.period)
+    assert former.result == 3
+    assert [line for line in one.machine.lines if line[3].startswith("replaced")]
+
+
+def test_the_same_seed_gives_the_same_events():
+    digests = set()
+    for _ in range(2):
+        one = society(9, 15, 3)
+        one.lossy(0.2, 0.1, 0.3)
+        one.run(5 * SECOND)
+        digests.add(one.world.digest.hexdigest())
+    assert len(digests) == 1
+
+
+@settings(max_examples=max(4, EXAMPLES // 12), deadline=None)
+@given(st.integers(0, 10_000))
+def test_drawn_faults_and_then_peace(seed):
+    """Whatever happens, once it is over all that live agree, and whoever was never struck was never called failed
+    for longer than a refutation takes."""
+    one = society(8, seed, 2)
+    chance = one.world.chance("plan")
+    for _ in range(6):
+        number, other = chance.sample(range(8), 2)
+        what = chance.choice(["kill", "stop", "cut", "one way", "loss"])
+        if what == "kill":
+            one.signal("KILL", number)
+            one.run(chance.randrange(100_000, 4 * SECOND))
+            one.start(number)
+        elif what == "stop":
+            one.signal("STOP", number)
+            one.run(chance.randrange(100_000, 4 * SECOND))
+            one.signal("CONT", number)
+        elif what == "cut":
+            one.cut([number], [other], True)
+            one.run(chance.randrange(100_000, 4 * SECOND))
+            one.cut([number], [other], False)
+        elif what == "one way":
+            one.link(number, other).one_way(one.name(other), True)
+            one.run(chance.randrange(100_000, 4 * SECOND))
+            one.link(number, other).one_way(one.name(other), False)
+        else:
+            one.lossy(0.4, 0.2, 0.2)
+            one.run(chance.randrange(100_000, 3 * SECOND))
+            one.lossy()
+    one.until(lambda: one.agree(), 80 * BRISK.period)
+    digests = {one.parts[n].members.view.hash for n in one.living()}
+    one.until(lambda: len({one.parts[n].members.view.hash for n in one.living()}) == 1, 40 * BRISK.period)
+    assert digests and not one.world.troubles
+
+
+def test_plain_swim_is_the_same_code_without_the_refinements():
+    plain = replace(BRISK, plain=True)
+    one = society(10, 16, settings=plain)
+    one.signal("KILL", 3)
+    one.until(lambda: one.agree(FAILED, [3]), 60 * BRISK.period)
+    assert all(part.members.view.health == 0 for part in one.parts.values())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -463,7 +463,7 @@
         instance = gateway.fleet.by_id[f"{'i' if n % 6 else 'n'}{n // 6 % 30:02}"]
         errored = instance.id[0] == "n" and n >= 3_600 - 12 * 6
         latency = (2500 if errored else 80) * MS
-        gateway.enter_sample(group, Sample(n * MS, latency, errored, instance, n // 1_000, 1.0, 0))
+        gateway.enter_sample(group, Sample(n * MS, latency, errored, instance, n // 1_000, 1.0, 0), n * MS)
     assert gateway.look(gateway.newest, 3_600 * MS) == "fail"
 
 
@@ -481,7 +481,7 @@
             n * MS + latency, latency, False, instance, n * MS // gateway.stretch, 1.0, 0)))
     said = []
     for at, n, sample in sorted(ended):
-        gateway.enter_sample(group, sample)
+        gateway.enter_sample(group, sample, at)
         if n % 200 == 0 and n > 4_000:
             said.append(gateway.look(gateway.newest, at))
     assert len(said) > 30 and "fail" not in said and said.count("suspect") < len(said) / 5
@@ -500,6 +500,58 @@
     assert first.errored and first.latency == 2500 * MS
 
 
+def judge_of(bench, living):
+    bench.gateway.on_members(bench.host.now, living)
+    return bench.gateway.judges(bench.gateway.newest)
+
+
+def test_a_judge_that_dies_gives_place_to_one_that_is_told_what_was_seen_and_nobody_is_told_twice():
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0], may_tell=True, gateways=20, number=3)
+    everybody = {n: 100 + n for n in range(20) if n != 3}     # ours may judge too: not here
+    first = judge_of(bench, everybody)
+    bench.serve(3_000 * MS, steady())
+    told = bench.host.named("tell")
+    assert {a[0] for _, _, a in told} == set(first) and all(len(a[1]) == 8 for _, _, a in told)
+    second = judge_of(bench, {n: at for n, at in everybody.items() if n != first[0]})
+    fresh = [n for n in second if n not in first]
+    again = bench.host.named("tell")[len(told):]
+    assert len(fresh) == 1 and {a[0] for _, _, a in again} == set(fresh) and 8 <= len(again) <= 40
+    assert all(Told.unpack(a[1])[5] >= 0 for _, _, a in again) and max(Told.unpack(a[1])[5] for _, _, a in again) > 0
+    count = len(bench.host.named("tell"))
+    judge_of(bench, {n: at for n, at in everybody.items() if n != first[0]})
+    judge_of(bench, everybody)                         # the first is back, of the same start: it knows
+    assert len(bench.host.named("tell")) == count
+    judge_of(bench, everybody | {first[0]: 999})       # it was restarted, and knows nothing
+    assert {a[0] for _, _, a in bench.host.named("tell")[count:]} == {first[0]}
+
+
+def test_no_word_of_another_gateway_opens_anything():
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+
+    def sent(count=40):
+        before = len(bench.host.named("forward"))
+        for _ in range(count):
+            bench.hit()
+            if bench.host.open:
+                bench.end(bench.host.open[0])
+            bench.host.now += 10 * MS
+        return {a[1][0] for _, _, a in bench.host.named("forward")[before:]}
+    assert "n" in sent()
+    bench.gateway.on_shut(bench.host.now, 2)
+    assert sent() == {"i"}
+    bench.news(2, 0, "trial", 1.0)
+    bench.gateway.on_shut(bench.host.now, None)        # as the host says it once the desk has spoken
+    assert "n" in sent()
+    tags = [Told.mark(one["id"], 1) for one in OLD]
+    bench.gateway.on_drains(bench.host.now, tags + [1, 2])
+    assert sent() == {"n"}
+    bench.gateway.on_list(bench.host.now, False, [OLD[0]])
+    bench.news(2, 0, "going back", 0.0)
+    assert sent() == {"i"}
+    bench.gateway.on_shut(bench.host.now, None)        # opens nothing that the desk has shut
+    assert sent() == {"i"}
+
+
 def test_a_silent_forward_that_may_not_be_called_off_counts_once():
     """The probe that goes unanswered is the sign; the forward stays out and is looked at again and again."""
     bench = Bench(OLD[:2], **PRICED)
