--- a/cobaltpond/day/script.py
+++ b/cobaltpond/day/script.py
@@ -77,6 +77,12 @@
     weight: p.Price = 1.0
 
 
+class Known(p.Part, kw_only=True):
+    """The gateways know each other: `members(...)` of their sheets."""
+    period: p.Span = 1_000_000
+    wait: p.Span = 300_000
+
+
 class Registry(p.Part, kw_only=True):
     """The list: how late it tells, and of what is silent."""
     by: Literal["push", "asking"] = "push"
@@ -129,7 +135,7 @@
     "rules": (p.Rules, NEEDED), "allow": (p.Allow, ONE), "reports": (p.Reports, ONE), "prices": (p.Prices, ONE),
     "day": (Day, NEEDED), "fleet": (Fleet, NEEDED), "traffic": (Traffic, MANY), "clients": (Clients, ONE),
     "gateway": (Gateway, MANY), "registry": (Registry, ONE), "offer": (Offer, MANY), "trouble": (Trouble, MANY),
-    "kill": (Kill, MANY), "door": (p.Door, ONE)}
+    "kill": (Kill, MANY), "door": (p.Door, ONE), "members": (Known, ONE)}
 
 
 def read_day(path: str, text: str, seed: int | None = None, more: dict | None = None) -> dict:
@@ -172,6 +178,7 @@
                       "extra": t.extra, "on": t.on, "which": t.which, "how": t.how}
                      for n, t in enumerate(calls["trouble"])],
         "agents": fleet.agents,
+        "members": msgspec.to_builtins(one("members")) if calls["members"] else None,
         "kills": [{"what": k.what, "gateway": k.gateway, "at": k.at, "back_after": k.back_after}
                   for k in calls["kill"]],
         "goal": {"whole": 0.6, "worst_window": 0.1, "worst_group": 0.2, "worst_customer": 0.1},
@@ -215,4 +222,6 @@
         lines.append(call("gateway", {"number": n, "zone": g["zone"], "door": f"127.0.0.1:{ports['doors'] + n}",
                                       "peers": f"127.0.0.1:{ports['peers'] + n}",
                                       "memory": f"{folder}/list-{n}.kept"}))
+    if plan.get("members"):
+        lines.append(call("members", plan["members"]))
     return "\n".join(lines) + "\n"
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -328,8 +328,8 @@
         old = [s for s in old if s.warmth >= 1]
         if not old or not new:
             return [], []
-        # of hits sent long ago, those kept since later ended later: both from one moment on, or it is the long
-        # ones of the one against all of the other
+        # both from one moment of ending on: of what was sent long ago, only the long ones ended since, and of
+        # the busier build less time is kept
         since = max(old[0].at, new[0].at)
         kept = [s for s in old if s.at >= since], [s for s in new if s.at >= since]
         old, new = kept if min(map(len, kept)) >= LEAST else (old, new)
@@ -439,9 +439,17 @@
             return False
         kept = self.kept_keys.get(hit.key)
         lives = kept and kept is self.newest and self.phase in ("trial", "released")
+        if kept is not instance.build and not self.spares(hit.key, instance.build):
+            return False
         return (not lives or instance.build.number >= kept.number) and self.exposure_allows(
             instance.build, group, now)
 
+    def spares(self, key, build):
+        """Where keys stay: may this key be bound to a build on trial? As large a part of them as its cap is,
+        the same at all gateways: guards against keys all bound, one by one, to what may serve but a part."""
+        cap = self.cap_of(build) if self.sheet.get("keys_stay") and key is not None else None
+        return cap is None or lot(build.number, key) < cap * 2**48
+
     def crowding(self, instance, now):
         """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs."""
         lean = self.sheet.get("crossing_price", 0) * 25 if instance.zone != self.sheet.get("zone") else 0
--- a/cobaltpond/sim/faults.py
+++ b/cobaltpond/sim/faults.py
@@ -72,6 +72,18 @@
             link.cut(True)
         self.later(row, lambda: [link.cut(False) for link in links])
 
+    def do_one_way(self, row) -> None:
+        """Nothing that `to` sends comes to `on`."""
+        names = [p.name for p in self.processes(row["on"])]
+        links = self.links(row)
+
+        def to(begins):
+            for link in links:
+                for name in names:
+                    link.one_way(name, begins)
+        to(True)
+        self.later(row, lambda: to(False))
+
     def do_slow(self, row) -> None:
         links = self.links(row)
         for link in links:
@@ -121,6 +133,8 @@
 
     def do_drift(self, row) -> None:
         for process in self.processes(row["on"]):
+            if process.name.startswith("gateway-"):
+                self.day.act("drifted", gateway=int(process.name[8:]), rate=row["size"])
             process.kernel.drift(row["size"])
 
     def do_stall(self, row) -> None:
@@ -186,11 +200,11 @@
         self.stand_by(part, self.world.time + row["length"] + LOOK, self.world.time + row["length"])
 
     def stand_by(self, part, until, since=0) -> None:
-        """What a supervisor does: a part that has ended is started again."""
+        """What a supervisor does: a part that has ended is started again, unless the day itself is ending them."""
         def look():
             child = self.day.children.get(part)
             due = self.world.time >= max(since, self.back_at.get(part, 0))
-            if due and child is not None and child.ended() is not None:
+            if due and child is not None and child.ended() is not None and not self.day.over:
                 if part.startswith("gateway-"):
                     self.day.start_gateway(int(part[8:]))
                 else:
--- a/cobaltpond/sim/run.py
+++ b/cobaltpond/sim/run.py
@@ -15,6 +15,7 @@
 OVER = 150_000_000                                     # beyond its length a day must end within this
 BACK_AFTER = 4_000_000                                 # faults over for so long, hits must be answered well again
 BACK_SHARE = 0.8
+AGREED_AFTER = 5_000_000                               # and gateways that know each other must agree again
 EPS = 5_000                                            # turns and delays; a link slowed 20 times takes up to 1.2 ms
 
 
@@ -135,6 +136,10 @@
         for status in result["statuses"]:
             if status["hits"]["open"] > 20:
                 verdict.found.append(f"leak: gateway {status['gateway']} has {status['hits']['open']} hits open")
+            members, quiet = status.get("members"), self.begin + self.plan["length"] - self.faults.over_at
+            if members and quiet > AGREED_AFTER and (members["alive"] < len(self.plan["gateways"]) or members["alone"]):
+                verdict.found.append(f"membership: gateway {status['gateway']} sees {members['alive']} alive, suspect "
+                                     f"{members['suspect']}, failed {members['failed']}, at a quiet end")
         verdict.result = {**result, "yard": yard, "found": rules}
 
     def kept_promises(self, verdict, result, yard) -> None:
--- a/cobaltpond/standins/instance.py
+++ b/cobaltpond/standins/instance.py
@@ -112,6 +112,7 @@
         finally:
             if job[0] is not None:
                 self.machine.advance(self.loop.now())
+            if job[0] is not None:                     # its work may just have ended
                 self.machine.cancel(job[0])
                 self.yard.record("left", instance=self.id, **job[0].about | {"from": read_at})
                 self.plan()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -552,6 +552,22 @@
     assert sent() == {"i"}
 
 
+def test_where_keys_stay_no_more_of_them_are_bound_to_a_trial_than_its_cap_serves():
+    """One by one all keys were bound to it, and what its cap did not allow was bounced."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.2), stage_caps=[0.2, 1.0], keys_stay=True, exposure_free=50)
+    for n in range(2_000):
+        bench.hit(key=n % 40)
+        bench.end(bench.host.open[0])
+        bench.host.now += 20 * MS
+    assert not bench.host.named("bounce")
+    bound = [key for key, build in bench.gateway.kept_keys.items() if build.number == 2]
+    assert 2 <= len(bound) <= 16                       # 8 on the mean
+    other = Bench(OLD + NEW, news=(2, 0, "trial", 0.2), stage_caps=[0.2, 1.0], keys_stay=True, seed=9, number=2)
+    assert all(other.gateway.spares(key, other.gateway.newest) == (key in bound) for key in range(40))
+    other.news(2, 1, "trial", 1.0)
+    assert all(other.gateway.spares(key, other.gateway.newest) for key in range(40))
+
+
 def test_a_silent_forward_that_may_not_be_called_off_counts_once():
     """The probe that goes unanswered is the sign; the forward stays out and is looked at again and again."""
     bench = Bench(OLD[:2], **PRICED)
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -2,6 +2,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 
 import broken
 import pytest
@@ -83,6 +84,7 @@
     assert found == []
 
 
+FOUND = Path(__file__).parent / "drawn"
 TAGGED = """
 path_group(name = "hold", kind = "tagged", scope = "zone", repeat_window = ms(300), target_latency = ms(1000),
            client_timeout = ms(2500), benefit = 3.0)
@@ -146,6 +148,19 @@
 """, length=14).replace("drain_time = ms(500)", "drain_time = ms(1500)")
 
 
+@pytest.mark.parametrize("name", sorted(path.stem for path in FOUND.glob("*.star")))
+def test_what_drawn_days_have_found_is_found_no_more(name):
+    """7310022: the auditor measured a drifting gateway's window by its own clock. 7310019: the supervisor of a fault
+    started a gateway that the day was ending. 7320030: all keys were bound to a build on trial, one by one.
+    known-1479: a stand-in's job ended as its client's connection broke."""
+    assert run_text((FOUND / f"{name}.star").read_text(), name).found == []
+
+
+def test_gateways_that_know_each_other_break_nothing_under_drawn_faults():
+    verdicts = [run_seed(seed, "known") for seed in range(6)]
+    assert [v.found for v in verdicts] == [[]] * 6 and sum(v.struck for v in verdicts) > 10
+
+
 def test_a_scenario_that_fails_is_made_smaller_and_still_fails():
     """With decisions that are broken on purpose."""
     drains = {"decisions": lambda process: broken.ForgetsDrains}
