A gateway started in mid-trial asks two others for their counts

Need: a gateway restarted in mid-trial has lost its evidence; a judge is told anew by all, the others were not.

Change: members/evidence.py decides whom to ask and what an answer is worth (linear in its age, the larger of two, never added up); the module hears it as a tally, never as hits of its own. The command names members that answer and have no open door.

The time to *back* with and without these counts is not measured.

--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -14,6 +14,7 @@
 from cobaltpond.sheet.parts import split_address
 
 REPLACED = 3                                           # exit code of one whose name a newer start has taken
+EVIDENCE = 3                                           # cold times, a little more than the module keeps its own
 START_WAIT = 10                                        # times the dial time: how long the door waits for news
 
 
@@ -44,11 +45,27 @@
         self.members = Members(
             self.loop, {g.number: g.zone for g in sheet.gateways}, self.number,
             Settings(sheet.members.period, sheet.members.wait), self.host.peers, self.post_member, self.about,
-            self.log, Chance(self.loop.kernel.seed()), sheet.digest())
-        self.news.said = lambda *state: self.members.hearsay.news(self.loop.now(), *state)
+            self.log, Chance(self.loop.kernel.seed()), sheet.digest(), trial=self.trial,
+            groups=[g.name for g in sheet.path_groups], window=EVIDENCE * sheet.rules.cold_time)
+        self.news.said = self.members.news
         self.follower.said = lambda: self.members.hearsay.listed(
             self.loop.now(), self.follower.held.revision, self.follower.held.draining())
 
+    def trial(self) -> list[tuple]:
+        """Counts of the newest build and the one before it, by path group, with how long ago the last hit ended."""
+        decisions, now = self.host.decisions, self.loop.now()
+        newest = getattr(decisions, "newest", None)
+        if newest is None:
+            return []
+        rows = []
+        for build in (newest, newest.earlier):
+            for place, group in enumerate(self.sheet.path_groups):
+                samples = build.samples.get(group.name) if build is not None else None
+                errored, hits = build.errored.get(group.name, (0, 0)) if build is not None else (0, 0)
+                if samples and hits:
+                    rows.append((build.number, place, hits, errored, max(0, now - samples[-1].at)))
+        return rows
+
     def post_member(self, name: str, *arguments) -> None:
         if name != "on_members" or self.sheet.members.judges:
             self.host.post(name, *arguments)
--- a/cobaltpond/members/compare.py
+++ b/cobaltpond/members/compare.py
@@ -25,7 +25,9 @@
         apart["news"] = by_value(news)
     cut = {at: [f"{zone}: {state}" for zone, state in table["zones"].items() if state not in ("fine", "unknown")]
            for at, table in heard.items()}
+    idle = sorted(at for at, row in own.items() if row["state"] == "alive" and not row.get("flags", 1) & 1)
     return {"silent": sorted(at for at, table in tables.items() if table is None), "members": rows, "apart": apart,
+            "idle": idle,
             "zones": {at: says for at, says in sorted(cut.items()) if says},
             "links": {at: table["broken_links"] for at, table in sorted(heard.items()) if table["broken_links"]}}
 
@@ -69,6 +71,8 @@
     rows = []
     if told["silent"]:
         rows.append(f"no answer from: {some(told['silent'])}")
+    if told["idle"]:
+        rows.append(f"there, but not open for hits: {some(told['idle'])}")
     agreed = {}
     for row in told["members"]:
         if row["otherwise"] or row["starts"] > 1 or row["state"] not in ("alive",):
--- a/cobaltpond/members/service.py
+++ b/cobaltpond/members/service.py
@@ -1,6 +1,7 @@
 """The tasks of membership on our loop: feeds the view with datagrams and time, sends what it wants sent, logs."""
 from cobaltpond.loop import Deadline, Event, Sleep, TimedOut
 from cobaltpond.members import wire
+from cobaltpond.members.evidence import Evidence
 from cobaltpond.members.hearsay import Hearsay
 from cobaltpond.members.states import ALIVE, LEFT
 from cobaltpond.members.view import Settings, View
@@ -11,16 +12,20 @@
 
 class Members:
     """`peers`: `gateway.peers.Peers`, whose datagrams of ours come to `take`. `about`: gives what this gateway says
-    of itself (revision, out, admitted, flags) as a map. `view`: another kind of view (baselines, in measurements)."""
+    of itself (revision, out, admitted, flags) as a map; `trial`: gives its counts of a trial, as `wire.trial_field`
+    takes them, of path groups as `groups` names them; `window`: how old evidence may be. `view`: another kind of view
+    (baselines, in measurements)."""
 
     def __init__(self, loop, zones: dict[int, str], number: int, settings: Settings, peers, post, about, log,
-                 chance, digest: int = 0, view=View):
+                 chance, digest: int = 0, view=View, trial=None, groups=(), window: int = 10_000_000):
         self.loop, self.peers, self.post, self.about, self.log = loop, peers, post, about, log
         self.view = view(number, zones, settings, chance, loop.kernel.wall(), loop.now())
         self.view.told_of_me.update(version=VERSION, settings=digest)
         self.hearsay = Hearsay(post)
         self.view.hearsay = lambda member, news, drains: self.hearsay.word(self.loop.now(), member, news, drains)
-        self.moved, self.odd, self.living, self.settled = Event(), {}, None, None
+        self.evidence, self.trial, self.groups = Evidence(window, post, chance, loop.now()), trial, list(groups)
+        self.view.trial = self.asked_for if trial is not None else None
+        self.moved, self.odd, self.living = Event(), {}, None
         self.alone, self.island, self.replaced = False, False, False
         peers.members = self.take
 
@@ -63,6 +68,19 @@
             self.log.error("replaced: a newer start of this gateway is running elsewhere; this one ends",
                            number=self.view.number, start=self.view.start)
 
+    def asked_for(self, kind: int, sender: int, sequence: int, rows: list) -> None:
+        """A question about a trial, or the answer to ours."""
+        if kind == wire.TRIAL_ASK:
+            self.view.send(wire.TRIAL_TOLD, sender, sequence, more=wire.trial_field(self.trial()[:wire.TRIAL_MOST]))
+        else:
+            self.evidence.answered(sender, [(build, self.groups[place], *rest) for build, place, *rest in rows
+                                            if place < len(self.groups)])
+
+    def news(self, build: int, stage: int, phase: str, cap: float, age: int) -> None:
+        """What our own desk says."""
+        self.hearsay.news(self.loop.now(), build, stage, phase, cap, age)
+        self.evidence.news(self.loop.now(), build, phase, age)
+
     # --- time --------------------------------------------------------------------------------------------------
 
     def run(self):
@@ -77,6 +95,8 @@
                 pass
             self.prepare()
             self.view.tick(self.loop.now())
+            for number in self.evidence.due(self.loop.now(), [n for n in self.view.living() if n != self.view.number]):
+                self.view.send(wire.TRIAL_ASK, number, 0)
             self.flush()
             self.look()
 
@@ -105,7 +125,8 @@
         return {**view.picture.summary(now), "island": self.island, "start": view.start,
                 "incarnation": view.incarnation, "counts": view.counts, "odd": self.odd,
                 "hearsay": {**self.hearsay.counts, "shut": self.hearsay.heard and self.hearsay.heard[0],
-                            "from": self.hearsay.heard_from}}
+                            "from": self.hearsay.heard_from},
+                "evidence": self.evidence.counts}
 
     def table(self) -> dict:
         """All members as they are seen from here, ours first."""
--- a/cobaltpond/members/view.py
+++ b/cobaltpond/members/view.py
@@ -70,6 +70,7 @@
                            "build": 0, "stage": 0, "phase": 0, "out": 0, "admitted": 255, "flags": 0}
         self.news, self.drains = None, ()              # to ride along: news.py
         self.hearsay = None                            # called with (member, news or None, drains) of each datagram
+        self.trial = None                              # called with (kind, sender, sequence, rows): questions on trials
         self.probe, self.next_probe = None, now + chance.below(settings.period) + 1
         self.round, self.reach_round = [], []          # whom to probe, whom to reach for, in a drawn order
         self.telling = {}                              # number -> times told
@@ -223,10 +224,12 @@
                     chosen.append(number)
         return b"".join(self.row_of(number) for number in chosen[:most])
 
-    def send(self, kind: int, receiver: int, sequence: int, about: int | None = None, differs=False) -> None:
+    def send(self, kind: int, receiver: int, sequence: int, about: int | None = None, differs=False,
+             more: bytes = b"") -> None:
         self.stamp += 1
         facts = {**self.told_of_me, "start": self.start, "incarnation": self.incarnation, "state": CODES[self.state]}
         fields = wire.self_field(facts) + wire.field(wire.DIGEST, wire.pack(">I", self.hash))
+        fields += more
         if about is not None:
             fields += wire.field(wire.ABOUT, wire.pack(">H", about))
         if self.news is not None:
@@ -260,7 +263,7 @@
         kind, sequence, stamp, fields = wire.opened(sender, self.number, data)
         facts, rows = wire.facts_of(fields), wire.rows_of(fields)
         about, digest = wire.number_of(fields, wire.ABOUT, ">H"), wire.number_of(fields, wire.DIGEST, ">I")
-        news, drains = wire.news_of(fields), wire.drains_of(fields)
+        news, drains, trial = wire.news_of(fields), wire.drains_of(fields), wire.trial_of(fields)
         self.counts["heard"] += 1
         self.feel(member.missed)
         member.missed = 0
@@ -289,6 +292,8 @@
             relayed = self.ping(about)
             wait = self.settings.wait
             self.relays[relayed] = sender, sequence, about, now + int(NACK_SHARE * wait), now + self.settings.period
+        elif kind in (wire.TRIAL_ASK, wire.TRIAL_TOLD) and self.trial is not None:
+            self.trial(kind, sender, sequence, trial)
         elif kind == wire.NACK and self.probe is not None and sequence == self.probe.sequence and (
                 sender in self.probe.helpers):
             self.probe.nacks[sender] = True
--- a/cobaltpond/members/wire.py
+++ b/cobaltpond/members/wire.py
@@ -14,11 +14,11 @@
 from cobaltpond.members.states import CODES, NAMES, UNHEARD
 
 MAJOR, MINOR = 1, 0
-PING, ACK, ASK, NACK, LEAVE = 1, 2, 3, 4, 5
+PING, ACK, ASK, NACK, LEAVE, TRIAL_ASK, TRIAL_TOLD = 1, 2, 3, 4, 5, 6, 7
 MOST = 250                                             # of a datagram's 256 bytes, what is left for us
 HEAD = ">BBIHII"
 BEGIN = calcsize(HEAD)
-SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST = 1, 2, 3, 4, 5, 6
+SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST, TRIAL = 1, 2, 3, 4, 5, 6, 7
 # start (microseconds of the calendar), incarnation, state, zone, version, settings, list's revision, build, stage,
 # phase, hits out, share let in (of 255), flags
 FACTS = ">QIBIHIIIBBHBB"
@@ -29,6 +29,7 @@
 ROW_SIZE = calcsize(ROW)
 NEWS_FORM = ">IBBHI"                                   # build, stage, phase, cap of 65535, age in milliseconds
 DRAINS_MOST = 6
+TRIAL_FORM, TRIAL_MOST = ">IBIIH", 10                 # build, place of the path group, hits, errored, age in 10 ms
 
 
 class Odd(Exception):
@@ -136,5 +137,20 @@
     return list(unpack(f">{len(value) // 4}I", value))
 
 
+def trial_field(rows) -> bytes:
+    """`rows`: (build, place of the path group, hits, errored, age in microseconds)."""
+    return field(TRIAL, b"".join(pack(TRIAL_FORM, build, group, min(hits, 0xffffffff), min(errored, 0xffffffff),
+                                      min(age // 10_000, 0xffff)) for build, group, hits, errored, age in rows))
+
+
+def trial_of(fields: dict) -> list[tuple]:
+    """Raises Odd."""
+    value, size = fields.get(TRIAL, b""), calcsize(TRIAL_FORM)
+    if len(value) % size or len(value) > size * TRIAL_MOST:
+        raise Odd("field")
+    rows = [unpack(TRIAL_FORM, value[at:at + size]) for at in range(0, len(value), size)]
+    return [(*told[:4], told[4] * 10_000) for told in rows]
+
+
 def drains_field(tags) -> bytes:
     return field(DRAINS, pack(f">{len(tags)}I", *tags))
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -122,6 +122,29 @@
     one.run(go())
 
 
+def test_one_that_is_restarted_in_mid_trial_asks_two_for_their_counts_and_counts_them_as_others(tmp_path):
+    one = rig(tmp_path, 3)
+    for n in range(3):
+        one.instance(f"new-{n}", 2)
+
+    def go():
+        one.tell_news(range(3), build=2, stage=1, phase="trial", cap=1.0)
+        yield from one.gathered()
+        for n in (1, 2):
+            assert None not in (yield from one.hits(n, 40))
+        one.signal("KILL", 0)
+        yield from one.until_seen("failed", [0], [1, 2])
+        one.start(0)
+
+        def heard():
+            table = yield from one.table(0)
+            return table and table["evidence"]["answers"] == 2 and table["evidence"]["tallies"]
+        yield from one.until(heard)
+        status, body = yield from one.get(0, "/-/status")
+        assert json.loads(body)["hits"]["taken"] == 0
+    one.run(go())
+
+
 def test_the_command_lays_the_tables_side_by_side(tmp_path):
     one = rig(tmp_path, 3)
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,6 +10,7 @@
 from cobaltpond.decisions.records import Chance
 from cobaltpond.members import wire
 from cobaltpond.members.compare import compare, lines, some
+from cobaltpond.members.evidence import Evidence
 from cobaltpond.members.hearsay import Hearsay
 from cobaltpond.members.picture import ALONE, CUT_OFF, FINE, GONE
 from cobaltpond.members.states import (
@@ -256,6 +257,27 @@
     assert min(times.values()) > 40 and max(times.values()) < 130     # 80 on the mean
 
 
+def test_counts_of_a_trial_are_asked_of_two_weighed_by_age_and_never_added_up():
+    said = []
+    one = Evidence(1000, lambda *what: said.append(what), Chance(3), 500)
+    one.news(600, 7, "trial", 50)                      # began after we did: nothing was missed
+    assert one.due(600, [1, 2, 3, 4]) == []
+    one.news(610, 8, "trial", 300)
+    first = one.due(610, [1, 2, 3, 4])
+    assert len(first) == 2 and one.due(620, [1, 2, 3, 4]) == []
+    one.answered(9, [(8, "look", 100, 50, 0)])         # was not asked
+    assert said == []
+    one.answered(first[0], [(8, "look", 100, 10, 500), (7, "look", 40, 0, 2000)])
+    assert said == [("on_tally", 8, "look", 50, 5, 0, 500)]
+    one.answered(first[0], [(8, "look", 900, 90, 0)])  # it has answered
+    living = [n for n in (1, 2, 3, 4) if n != first[1]]
+    second = one.due(610 + 500_000, living)            # the other one has gone: another is asked
+    assert len(second) == 1 and second[0] not in first
+    one.answered(second[0], [(8, "look", 80, 6, 0)])   # of the same hits, perhaps: the larger holds
+    assert said[1:] == [("on_tally", 8, "look", 30, 1, 0, 0)]
+    assert one.due(10**9, living) == []
+
+
 # --- who is there in whose eyes --------------------------------------------------------------------------------
 
 def test_tables_side_by_side_name_who_differs_and_since_when():
@@ -271,6 +293,9 @@
     assert told["members"][0]["otherwise"] == {2: {"state": FAILED, "since_us": 2_000_000, "cause": "ran out", "by": 2}}
     text = "\n".join(lines(told))
     assert "no answer from: 3" in text and "but failed at gateway 2 for 2.0 s (ran out by 2)" in text
+    idle = table(1)
+    idle["members"][1]["flags"] = 0                    # answers probes, and has no open door
+    assert "there, but not open for hits: 1" in "\n".join(lines(compare({0: table(0), 1: idle})))
     assert some([0, 1, 2, 5, 7, 8]) == "0-2, 5, 7-8"
 
 
@@ -430,6 +455,23 @@
     assert one.agree() and one.declared(at) == []
 
 
+def test_one_slow_process_accuses_nobody_and_is_there_again_once_it_is_quick():
+    one = society(16, 17)
+    one.slow([5], one.world.time + 30 * SECOND, runs=(10_000, 30_000), stands=(200_000, 600_000))
+    at = one.world.time
+    one.run(31 * SECOND)
+    assert not [d for d in one.declared(at) if d[2] != 5]
+    one.until(lambda: one.agree(), 40 * BRISK.period)
+
+
+def test_a_full_table_takes_nobody_in_whom_the_sheet_does_not_name():
+    view = View(0, {n: "a" for n in range(300)}, Settings(), Chance(1), 9, 0)
+    for n in range(1, 65_536):
+        view.told(5, n, 7, 0, ALIVE, 1)
+    assert len(view.members) == 299 and view.counts["strangers"] == 65_536 - 300
+    assert len(view.telling) <= 300 and len(view.living()) == 300
+
+
 def test_of_two_with_one_name_the_newer_start_stays_and_the_other_says_why_it_ends():
     one = society(5, 14, lines=True)
     former, old = one.processes[3], one.parts[3]
