The rig looks for ports that are free of datagrams too

Cause: a test of the rig failed once with 'address already in use': its ports are found by listening, and the datagram sockets of a rig before it were still open. Change: sockets are closed with the rig, and a run of ports is taken only if all its datagram sockets can be bound.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -53,13 +53,23 @@
     def __init__(self, folder, count, zones=("north",), seed=1):
         self.loop, self.folder, self.count, self.deaths = Loop(EpollKernel(), self.died), str(folder), count, []
         self.zones = [zones[n % len(zones)] for n in range(count)]
-        self.lock, base = free_run(self.loop.kernel, 4 * count + count * count + 8)
-        at = iter(range(base, base + 4 * count + count * count + 8))
-        self.doors, self.binds, self.lists, self.desks = ([next(at) for _ in range(count)] for _ in range(4))
         pairs = [(a, b) for a in range(count) for b in range(count) if a != b]
         self.links = {pair: Link(f"{seed}/{pair}") for pair in pairs}
-        self.ports = {pair: next(at) for pair in pairs}          # where the first believes the second to be
-        self.sockets = {pair: self.loop.kernel.datagrams(("127.0.0.1", port)) for pair, port in self.ports.items()}
+        for _ in range(50):                            # a run is free of listeners; datagrams are another matter
+            self.lock, base = free_run(self.loop.kernel, 4 * count + count * count + 8)
+            at = iter(range(base, base + 4 * count + count * count + 8))
+            self.doors, self.binds, self.lists, self.desks = ([next(at) for _ in range(count)] for _ in range(4))
+            self.ports, self.sockets = {pair: next(at) for pair in pairs}, {}      # where one believes the other to be
+            try:
+                for bind in self.binds:                # the gateways' own, tried and left to them
+                    self.loop.kernel.datagrams(("127.0.0.1", bind)).close()
+                for pair, port in self.ports.items():
+                    self.sockets[pair] = self.loop.kernel.datagrams(("127.0.0.1", port))
+                break
+            except OSError:
+                self.close()
+        else:
+            raise RuntimeError("no free ports")
         self.children, self.ended, self.streams = {}, {}, {n: {} for n in range(count)}
         self.news = {n: {"build": 1, "stage": 0, "phase": "released", "cap": 1.0} for n in range(count)}
         self.since, self.deaf_desk, self.rows, self.revision = self.loop.kernel.now(), {}, [], 1
@@ -73,6 +83,11 @@
                                         f"{what}-{n}"), f"{what}-{n}")
         self.loop.spawn(self.beat(), "beat")
 
+    def close(self):
+        for socket in self.sockets.values():
+            socket.close()
+        self.lock.close()
+
     def died(self, task, trouble):
         self.deaths.append((task.name, trouble))
 
@@ -251,7 +266,7 @@
                         yield Sleep(5 * MS)
             self.loop.run(self.loop.spawn(gone(), "gone"))
             self.loop.close()
-            self.lock.close()
+            self.close()
             assert not self.deaths, self.deaths
 
     def log(self, n):
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -177,6 +177,6 @@
         file.write(text)
     done = subprocess.run([sys.executable, "-m", "cobaltpond", "check", path], capture_output=True, text=True)
     one.loop.close()
-    one.lock.close()
+    one.close()
     assert done.returncode == 2 and why in done.stderr and f"{path}:" in done.stderr
     assert PERIOD < SECOND
