--- a/bench/mutate.py
+++ b/bench/mutate.py
@@ -1,4 +1,4 @@
-"""Mutation of the decisions: what share of small breaks in rules.py is noticed, and by what.
+"""Mutation of the decisions: what share of small breaks in the module is noticed, and by what.
 
     .venv/bin/pip install -r bench/requirements.txt
     .venv/bin/python bench/mutate.py [--mutants 120] [--seeds 12] [--jobs 8] [--tests-of COMMIT]
@@ -23,7 +23,7 @@
 from cosmic_ray.mutating import mutate_code
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-RULES = os.path.join("cobaltpond", "decisions", "rules.py")
+PARTS = [os.path.join("cobaltpond", "decisions", f"{name}.py") for name in ("rules", "choosing", "judging", "voting")]
 
 
 def positions(code):
@@ -41,16 +41,16 @@
     return found
 
 
-def made(code, name, occurrence):
-    """(operator, line, text)."""
+def made(code, part, name, occurrence):
+    """(operator, line, text, file)."""
     text = mutate_code(code, plugins.get_operator(name)(), occurrence)
     pairs = zip(code.splitlines(), text.splitlines(), strict=False)
-    return name.partition("/")[2], next((n for n, (a, b) in enumerate(pairs, 1) if a != b), 0), text
+    return name.partition("/")[2], next((n for n, (a, b) in enumerate(pairs, 1) if a != b), 0), text, part
 
 
 def noticed(mutant, seeds, tests_of):
     """By what a mutant is noticed, or survived."""
-    _, _, text = mutant
+    _, _, text, part = mutant
     folder = tempfile.mkdtemp(prefix="cobaltpond-mutant-")
     try:
         shutil.copytree(os.path.join(ROOT, "cobaltpond"), os.path.join(folder, "cobaltpond"))
@@ -60,7 +60,7 @@
         else:
             shutil.copytree(os.path.join(ROOT, "tests"), os.path.join(folder, "tests"))
         shutil.copy(os.path.join(ROOT, "pyproject.toml"), folder)
-        with open(os.path.join(folder, RULES), "w") as file:
+        with open(os.path.join(folder, part), "w") as file:
             file.write(text)
         pytest = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", "tests/test_rules.py"]
         runs = [("tests", pytest)]
@@ -86,18 +86,20 @@
     words.add_argument("--jobs", type=int, default=os.cpu_count())
     words.add_argument("--tests-of", default="")
     words = words.parse_args()
-    with open(os.path.join(ROOT, RULES)) as file:
-        code = file.read()
-    every = positions(code)
-    chosen = [made(code, *one) for one in random.Random(1).sample(every, min(words.mutants, len(every)))]
-    counts, lines = Counter(), code.splitlines()
+    codes = {}
+    for part in PARTS:
+        with open(os.path.join(ROOT, part)) as file:
+            codes[part] = file.read()
+    every = [(part, *one) for part, code in codes.items() for one in positions(code)]
+    chosen = [made(codes[one[0]], *one) for one in random.Random(1).sample(every, min(words.mutants, len(every)))]
+    counts = Counter()
     with ThreadPoolExecutor(words.jobs) as pool:
         results = pool.map(lambda m: noticed(m, words.seeds, words.tests_of), chosen)
-        for (name, line, text), how in zip(chosen, results, strict=True):
+        for (name, line, text, part), how in zip(chosen, results, strict=True):
             counts[how] += 1
             if how == "survived":
-                print(f"line {line}: {name}\n  - {lines[line - 1].strip()}\n  + {text.splitlines()[line - 1].strip()}",
-                      flush=True)
+                before, after = (code.splitlines()[line - 1].strip() for code in (codes[part], text))
+                print(f"{part}, line {line}: {name}\n  - {before}\n  + {after}", flush=True)
             if sum(counts.values()) % 10 == 0:
                 print(f"{sum(counts.values())} tried: {dict(counts)}", flush=True)
     caught = sum(n for how, n in counts.items() if how != "survived")
--- a/bench/planted.py
+++ b/bench/planted.py
@@ -33,7 +33,7 @@
         "agent/main.py", "        self.manifests[build] = held_manifest(signed), signed\n",
         "        self.manifests[build] = read_manifest(signed, Ring(9, []), 1, ordered=build), signed\n"),
     "a lowered cap binds four graces late": (
-        "decisions/rules.py", 'now + self.sheet.get("drain_grace", 0)', 'now + 4 * self.sheet.get("drain_grace", 0)'),
+        "decisions/voting.py", 'now + self.sheet.get("drain_grace", 0)', 'now + 4 * self.sheet.get("drain_grace", 0)'),
     "drained instances stay in the list of those that are up": (
         "decisions/records.py", 'if i.state == "up")', 'if i.state != "gone")'),
     "repeat window measured from the last forward": (
@@ -54,10 +54,10 @@
                                                "                    seen = yield from run.first_part()",
                                                "with Deadline(self.loop, 60 * time_out):\n"
                                                "                    seen = yield from run.first_part()"),
-    "cap of the stage before": ("decisions/rules.py", "self.phase, self.cap, self.stage_began = told, stage, phase, cap,",
+    "cap of the stage before": ("decisions/voting.py", "self.phase, self.cap, self.stage_began = told, stage, phase, cap,",
                                 "self.phase, self.cap, self.stage_began = told, stage, phase, max(cap, self.cap or 0),"),
     "exposure counted over half the window": (
-        "decisions/rules.py", 'now - self.sheet["exposure_window"], group.ledger',
+        "decisions/choosing.py", 'now - self.sheet["exposure_window"], group.ledger',
         'now - self.sheet["exposure_window"] // 2, group.ledger'),
     "a list change applied over a gap": (
         "gateway/follow.py", "raise Gap(f\"a change to {told['epoch']}/{told['base']}, held is "
--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from cobaltpond.agent.states import DRAINING, STARTING, Place, Slot
+from cobaltpond.agent.listing import CALL_TIME, Listing
+from cobaltpond.agent.states import STARTING, Place, Slot
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, held_manifest, read_manifest, rings_after
 from cobaltpond.builds.store import Full, Rotten, Store
@@ -17,7 +18,6 @@
 
 LOOK = 40_000                                          # how often processes are looked at
 REPORT = 300_000
-CALL_TIME = 1_000_000
 OUTPUT = 1 << 20                                       # bytes kept of what an instance prints
 PORTS = 8
 LIST_PATIENCE = 5_000_000                              # how long a drain waits for the list to hear of it
@@ -32,7 +32,7 @@
         self.began, self.listed = None, None
 
 
-class Agent:
+class Agent(Listing):
     def __init__(self, loop, sheet, host, log):
         self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
         kernel, builds = loop.kernel, sheet.builds
@@ -359,55 +359,6 @@
     def do_wait_rested(self, build):
         self.after(build, self.place.slots[build].rest(), "rested")
 
-    # --- the list ------------------------------------------------------------------------------------------------
-
-    def name_of(self, process):
-        """The id under which the list shows it."""
-        return f"{self.host.place}.{process.port - self.host.ports}"
-
-    def id_of(self, build):
-        process = self.processes.get(build)
-        return self.name_of(process) if process else ""
-
-    def do_list_up(self, build):
-        self.leave(build, "drained")
-        if self.processes[build].listed is None:
-            self.note({"listed": self.processes[build].mark})
-        self.tell_list(build, self.processes[build], "up")
-
-    def do_list_draining(self, build):
-        if build in self.processes:
-            self.tell_list(build, self.processes[build], "draining")
-
-    def do_list_gone(self, build):
-        pass                                           # told when its end was seen
-
-    def tell_list(self, build, process, state):
-        if state == "gone" and process.listed is None:
-            return
-        process.listed = state
-        row = {"id": self.name_of(process), "zone": self.host.zone,
-               "cell": self.host.cell, "address": f"{self.host.address}:{process.port}", "build": build,
-               "state": state, "start": process.mark, "age_us": self.loop.now() - process.began}
-
-        def tell():
-            """Until it is heard: what the list says must come true."""
-            waits = Waits(50_000, 1_000_000, self.loop.kernel.seed())
-            while True:
-                try:
-                    with Deadline(self.loop, CALL_TIME):
-                        status, _ = yield from call(self.loop, split_address(self.sheet.listing.address), "POST",
-                                                    "/v1/instances", json.dumps(row).encode(), CALL_TIME)
-                    if status == 200:
-                        slot = self.place.slots.get(build)
-                        if state == "draining" and slot is not None and slot.state == DRAINING:
-                            self.after(build, self.sheet.release.drain_time, "drained")
-                        return
-                except (*FAILED, TimedOut):
-                    pass
-                yield Sleep(waits.next())
-        self.task(process.mark, "list", tell())
-
     def prune(self):
         """Never what runs or may be returned to: every build that the order names is kept."""
         keep = set(self.place.slots) | {p.build for p in self.processes.values()}
--- /dev/null
+++ b/cobaltpond/decisions/choosing.py
@@ -0,0 +1,144 @@
+"""Which instance gets a hit: what is known of each, what a cap or a cold start allows, who is next in turn.
+
+A part of `rules.Gateway`, which has the state.
+"""
+from itertools import islice
+from statistics import fmean
+
+from cobaltpond.decisions.figures import SECOND, lot
+
+IN_SIGHT = 18                # instances compared for a hit
+# Ratios to figures of the runsheet: to the longest warm-up, to the target latency, to what a rule allows.
+BENCH_COLD_TIMES = 0.25      # first time out of the rotation; doubles up to eight times as long
+USEFUL_SHARE = 0.9           # no further forward past this
+COLD_CAUTION = 0.6           # of what a cold instance could be sent, our guess of its capacity being rough
+BRISK_SHARE, LIMIT_CUT = 0.3, 0.7      # limit in flight: grows by one, cut where slower
+ADMIT_STEP, ADMIT_CUT = 0.1, 0.7       # a thin gateway's share of hits let in: grows, is cut
+SHY, BLAMED = 0.3, 0.4       # share of dials or probes that fail; of a customer's hits, against the others'
+TRIAL_LEAN, TRUST_LEAN, COLD_LEAN, CONDEMNED_LEAN = 3, 2, 1, 100      # hits: counts as emptier, or fuller
+
+
+class Choosing:
+    def fill_cold_budget(self, now):
+        """Each hit delivered allows a cold instance a part of one; all parts sum to what it can bear. What is
+        not used at once is lost: guards against hundreds of gateways that spend theirs together."""
+        part = self.sheet.get("overload_factor", 1) * COLD_CAUTION / max(1, len(self.fleet.up))
+        for instance in self.fleet.still_cold(now):
+            saved = instance.tokens % 1 if self.thin else min(1.0, instance.tokens)
+            instance.tokens = saved + part * instance.warmth(now)
+
+    def learn(self, instance, group, ending, took, report, now):
+        if ending in ("ok", "error", "full"):
+            instance.heard_at = now
+        if "inflight" in report:
+            instance.others = max(0.0, report["inflight"] - instance.out - 1)
+        if ending == "ok":
+            self.fill_cold_budget(now)
+            group.usual += (took - group.usual) * (0.05 if group.usual else 1)
+            instance.pace += (took / max(1, group.usual) - instance.pace) * 0.2
+        if ending in ("cancelled", "moot"):
+            return
+        lag = took / group.target if ending == "ok" else max(1.0, took / group.target)
+        instance.lag += (min(2.0, lag) - instance.lag) * 0.2
+        if instance.lag > BRISK_SHARE and now - instance.cut_at > BRISK_SHARE * self.shortest:
+            instance.limit, instance.cut_at = max(1, int(instance.limit * LIMIT_CUT)), now
+        elif instance.lag <= BRISK_SHARE and instance.out + 1 >= instance.limit:
+            instance.limit += 1
+        self.late += ((lag >= USEFUL_SHARE) - self.late) * 0.05
+        if lag < USEFUL_SHARE:
+            self.admitted = min(1.0, self.admitted + ADMIT_STEP)
+        elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
+            self.jammed(now - took, now)
+        fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
+        instance.faults += (fault - instance.faults) * 0.3
+        if ending == "ok" and instance.faults < 0.3:
+            instance.bench_time = 0
+        self.shy += ((ending == "unreachable") - self.shy) * 0.1
+        if ending == "unreachable" or instance.faults > 0.5:
+            self.bench(instance, now)
+
+    def jammed(self, sent, now):
+        """Something is late. What went out before the last cut says nothing of that cut."""
+        if sent >= self.admitted_cut:
+            self.admitted, self.admitted_cut = max(ADMIT_STEP, self.admitted * ADMIT_CUT), now
+
+    def blames(self, customer, ending):
+        """Is an error its customer's doing? Against hits that any instance errors; may hide a fault."""
+        rate = 0.2 if self.thin else 0.05
+        share = self.blame[customer] = self.blame.get(customer, 0.0) * (1 - rate) + rate * (ending == "error")
+        others = [x for name, x in self.blame.items() if name != customer]
+        return ending == "error" and bool(others) and share > max(BLAMED, 2 * fmean(others))
+
+    def bench(self, instance, now):
+        """Out for a while, then one hit at a time: against silent, cut-off and quickly failing instances."""
+        if now >= instance.benched_until:
+            first = int(BENCH_COLD_TIMES * self.cold_time) or SECOND
+            instance.bench_time = min(8 * first, instance.bench_time * 2 or first)
+            instance.benched_until, instance.limit, instance.faults = now + instance.bench_time, 1, 0.4
+
+    def cap_of(self, build):
+        """The cap that binds this build now; None where it is not on trial."""
+        if build is self.shut:
+            return 0.0
+        if self.newest is None or build.number > self.newest.number:
+            return (self.sheet.get("stage_caps") or [0.0])[0]
+        return self.cap if build is self.newest and self.phase != "released" else None
+
+    def exposure_allows(self, build, group, now):
+        cap = self.cap_of(build)
+        if cap is None:
+            return True
+        shielded = (self.stage if build is self.newest else 0) < self.sheet.get("shielded_stages", 0)
+        if cap <= 0 or shielded and group.kind != "repeatable":
+            return False
+        since, name = now - self.sheet["exposure_window"], group.ledger
+        since = max(since, build.counted_from) if now >= build.counted_from else since
+        sent, taken = build.sent.since(name, since), self.taken.since(name, since + 1)
+        return sent + 1 <= self.sheet.get("exposure_free", 0) + cap * taken
+
+    def fits(self, hit, instance, now):
+        shut = now < instance.benched_until or instance.out >= instance.limit
+        if shut or instance.tokens < 1 and instance.warmth(now) < 1:
+            return False
+        group, first = hit.group, hit.risky and hit.risky.instance
+        if first and group.kind == "tagged" and not first.drops_with(instance, group.scope):
+            return False
+        kept = self.kept_keys.get(hit.key)
+        lives = kept and kept is self.newest and self.phase in ("trial", "released")
+        if kept is not instance.build and not self.spares(hit.key, instance.build):
+            return False
+        return (not lives or instance.build.number >= kept.number) and self.exposure_allows(
+            instance.build, group, now)
+
+    def spares(self, key, build):
+        """Where keys stay: may this key be bound to a build on trial? As large a part of them as its cap is,
+        the same at all gateways: guards against keys all bound, one by one, to what may serve but a part."""
+        cap = self.cap_of(build) if self.sheet.get("keys_stay") and key is not None else None
+        return cap is None or lot(build.number, key) < cap * 2**48
+
+    def crowding(self, instance, now):
+        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs."""
+        lean = self.sheet.get("crossing_price", 0) * 25 if instance.zone != self.sheet.get("zone") else 0
+        pace = min(10.0, instance.pace) if instance.pace > 1.5 else 1.0
+        if instance.build.condemned:
+            lean += CONDEMNED_LEAN
+        elif self.cap_of(instance.build) is not None:
+            pace = 1.0                                 # a slow build must not hide by getting no hits
+            lean -= (TRIAL_LEAN + TRIAL_LEAN * TRUST_LEAN * self.trusted) / max(TRIAL_LEAN, self.gateways)
+        warmth = instance.warmth(now)
+        lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
+        return (instance.out + instance.others + 1) * pace + lean
+
+    def pick(self, hit, now):
+        """The rotation: of the instances that fit and are about as free as the freest, the next in turn; only
+        those heard of late while dials or probes fail: against squeezed or slow new connections."""
+        turn = list(self.fleet.from_turn(self.turn))
+        if self.thin and self.shy > SHY:
+            turn = [i for i in turn if now - i.heard_at < self.cold_time and self.fits(hit, i, now)] or turn
+        fits = (i for i in turn if self.fits(hit, i, now))
+        fit, tried = list(islice(fits, IN_SIGHT)), [f.instance for f in hit.forwards] + hit.asked
+        fit = [i for i in fit if i not in tried] or fit
+        crowd = [self.crowding(i, now) for i in fit]
+        chosen = next((i for i, c in zip(fit, crowd, strict=True) if c <= min(crowd) + 0.5), None)
+        self.turn = chosen.id if chosen else self.turn
+        return chosen
--- a/cobaltpond/decisions/figures.py
+++ b/cobaltpond/decisions/figures.py
@@ -4,6 +4,8 @@
 from statistics import fmean
 from zlib import crc32
 
+SECOND = 1_000_000                                     # microseconds
+
 
 def rank_z(strata):
     """The design's z over pairs (new, old sorted) of latencies, summed as in a stratified rank test (van
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -1,5 +1,5 @@
 """The only room that knows the operating system: clock, epoll, sockets, timers, tasks, processes, files."""
-from cobaltpond.loop.kernel import EpollKernel, HandlesUsedUp, Kernel, PeerLost, Refused, Unreachable
+from cobaltpond.loop.kernel import EpollKernel, Kernel
 from cobaltpond.loop.ports import free_run
 from cobaltpond.loop.process import in_workers, run_part
 from cobaltpond.loop.streams import Connection, dial, serve
@@ -15,6 +15,7 @@
     TimedOut,
     Writable,
 )
+from cobaltpond.loop.trouble import HandlesUsedUp, PeerLost, Refused, Unreachable
 
 __all__ = [
     "Cancelled", "Connection", "Deadline", "EpollKernel", "Event", "HandlesUsedUp", "Kernel", "Loop", "PeerLost",
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -12,41 +12,15 @@
 import select
 import signal
 import socket
-import struct
 import time
 from typing import Protocol
 
+from cobaltpond.loop.children import MARK, Adopted, Child, carries
+from cobaltpond.loop.sockets import Datagrams, Handle, Listener, Stream
+from cobaltpond.loop.trouble import Refused, Unreachable, translated
+
 READ, WRITE = select.EPOLLIN | select.EPOLLRDHUP, select.EPOLLOUT
 BROKEN = select.EPOLLERR | select.EPOLLHUP
-MARK = "COBALTPOND_RUN"
-LOST = {errno.ECONNRESET, errno.EPIPE, errno.ENOTCONN, errno.ECONNABORTED, errno.ETIMEDOUT, errno.EBADF}
-USED_UP = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
-
-
-class PeerLost(Exception):
-    """The connection is gone: reset, broken, or closed on our side."""
-
-
-class Refused(Exception):
-    """Nobody listens at that address."""
-
-
-class Unreachable(Exception):
-    """No connection, for another reason than a refusal."""
-
-
-class HandlesUsedUp(Exception):
-    """The process may open no more files or sockets now."""
-
-
-def translated(trouble: OSError) -> Exception:
-    if trouble.errno in LOST:
-        return PeerLost(os.strerror(trouble.errno))
-    if trouble.errno == errno.ECONNREFUSED:
-        return Refused(os.strerror(trouble.errno))
-    if trouble.errno in USED_UP:
-        return HandlesUsedUp(os.strerror(trouble.errno))
-    return Unreachable(str(trouble))
 
 
 class Kernel(Protocol):
@@ -83,155 +57,6 @@
     def wall(self) -> int: ...
 
 
-class Handle:
-    """A socket known to the kernel; `reader` and `writer` are the tasks that wait for it."""
-
-    def __init__(self, kernel: "EpollKernel", sock: socket.socket):
-        self.kernel, self.sock, self.reader, self.writer = kernel, sock, None, None
-        self.closed = False
-        sock.setblocking(False)
-        kernel.enter(self)
-
-    def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.kernel.leave(self)
-            self.sock.close()
-            for task in (self.reader, self.writer):    # they try again, and are told that it is gone
-                if task is not None:
-                    task.wake()
-            self.reader = self.writer = None
-
-    def address(self) -> tuple[str, int]:
-        return self.sock.getsockname()[:2]
-
-
-class Stream(Handle):
-    def connected(self) -> bool:
-        """Is the dial through? Raises Refused, Unreachable or HandlesUsedUp where it has failed."""
-        trouble = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if trouble:
-            wrong = translated(OSError(trouble, os.strerror(trouble)))
-            raise Unreachable(str(wrong)) if isinstance(wrong, PeerLost) else wrong
-        try:
-            self.sock.getpeername()
-        except OSError:
-            return False
-        return True
-
-    def recv(self, size: int) -> bytes | None:
-        """b"" at the peer's end of file."""
-        if self.closed:
-            raise PeerLost("closed here")
-        try:
-            return self.sock.recv(size)
-        except BlockingIOError:
-            return None
-        except OSError as trouble:
-            raise PeerLost(str(trouble)) from None
-
-    def send(self, data) -> int | None:
-        if self.closed:
-            raise PeerLost("closed here")
-        try:
-            return self.sock.send(data)
-        except BlockingIOError:
-            return None
-        except OSError as trouble:
-            raise PeerLost(str(trouble)) from None
-
-    def finish(self) -> None:
-        """Our end of file: the peer reads what was sent and then b""."""
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-
-    def abort(self) -> None:
-        """Closes with a reset: what is not yet sent is thrown away, and the peer sees it at once."""
-        if not self.closed:
-            try:
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            except OSError:
-                pass
-            self.close()
-
-
-class Listener(Handle):
-    def accept(self) -> Stream | None:
-        """Raises HandlesUsedUp where the process has no descriptor left; the caller stays in the backlog."""
-        try:
-            sock, _ = self.sock.accept()
-        except (BlockingIOError, ConnectionAbortedError):
-            return None
-        except OSError as trouble:
-            raise translated(trouble) from None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Stream(self.kernel, sock)
-
-
-class Datagrams(Handle):
-    def recv(self, size: int) -> tuple[bytes, tuple[str, int]] | None:
-        try:
-            return self.sock.recvfrom(size)
-        except OSError:                                # also the ICMP error of an earlier send
-            return None
-
-    def send(self, data: bytes, address: tuple[str, int]) -> bool:
-        """False where it was not sent: it counts as lost on the way."""
-        try:
-            self.sock.sendto(data, address)
-            return True
-        except OSError:
-            return False
-
-
-class Child:
-    def __init__(self, process):
-        self.process, self.pid = process, process.pid
-
-    def ended(self) -> int | None:
-        return self.process.poll()
-
-    def signal(self, name: str) -> None:
-        if self.ended() is None:
-            self.process.send_signal(getattr(signal, f"SIG{name}"))
-
-
-    def signal_all(self, name: str) -> None:
-        """To the whole group that it leads."""
-        if self.ended() is None:
-            os.killpg(self.pid, getattr(signal, f"SIG{name}"))
-
-
-class Adopted:
-    """A process that an earlier start of this program began. It is known by the mark in its environment: a number
-    that the system has given to another process since does not carry it."""
-
-    def __init__(self, pid: int, mark: str):
-        self.pid, self.mark = pid, mark
-
-    def ended(self) -> int | None:
-        """-1 once it is gone; its exit code went to whoever began it."""
-        return None if carries(self.pid, self.mark) else -1
-
-    def signal_all(self, name: str) -> None:
-        if self.ended() is None:
-            try:
-                os.killpg(self.pid, getattr(signal, f"SIG{name}"))
-            except ProcessLookupError:
-                pass
-
-
-def carries(pid: int, mark: str) -> bool:
-    """Is this the leader that was started with the mark? A process that has ended has no environment left."""
-    try:
-        with open(f"/proc/{pid}/environ", "rb") as file:
-            return f"{MARK}={mark}".encode() in file.read().split(b"\0") and os.getpgid(pid) == pid
-    except (OSError, ProcessLookupError):
-        return False
-
-
 class Appending:
     """A file that only grows."""
 
--- a/cobaltpond/loop/ports.py
+++ b/cobaltpond/loop/ports.py
@@ -1,5 +1,5 @@
 """Runs of free ports for stand-ins and tests, below those that the system gives out to dials by itself."""
-from cobaltpond.loop.kernel import Unreachable
+from cobaltpond.loop.trouble import Unreachable
 
 FIRST, LAST, BLOCK = 10_000, 32_000, 400
 
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -1,6 +1,6 @@
 """Bytes over a stream handle: reads, writes with back-pressure, dials with a time-out, a bounded accept."""
-from cobaltpond.loop.kernel import HandlesUsedUp, PeerLost
 from cobaltpond.loop.tasks import Cancelled, Deadline, Readable, Sleep, Writable
+from cobaltpond.loop.trouble import HandlesUsedUp, PeerLost
 
 CHUNK = 1 << 16
 
--- a/cobaltpond/sim/faults.py
+++ b/cobaltpond/sim/faults.py
@@ -1,5 +1,6 @@
 """Carries out the faults of a scenario, at their times or aimed at a moment, on the simulated machine."""
-from cobaltpond.sim.net import Stream, part_of
+from cobaltpond.sim.links import part_of
+from cobaltpond.sim.net import Stream
 
 LOOK = 250_000                                         # how often parts that a disk fault has ended are started again
 
--- a/cobaltpond/sim/kernel.py
+++ b/cobaltpond/sim/kernel.py
@@ -4,7 +4,7 @@
 import shlex
 import sys
 
-from cobaltpond.loop.kernel import HandlesUsedUp, Refused, Unreachable
+from cobaltpond.loop.trouble import HandlesUsedUp, Refused, Unreachable
 from cobaltpond.sim.disk import File, Folder
 from cobaltpond.sim.net import Datagrams, Listener, Stream
 from cobaltpond.sim.world import Process
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,7 @@
 """A host that records what a gateway does, a slow plain model of the rules, a generator of events."""
 import random
 
+from cobaltpond.decisions.records import Chance
 from cobaltpond.decisions.rules import Gateway
 
 MS = 1000
@@ -260,3 +261,20 @@
                 bench.end(forward, "timeout")
         bench.gateway.on_wake(bench.host.now, 0)
     return bench, asked, told
+
+
+OLD = [row(f"i{n}") for n in range(6)]
+NEW = [row(f"n{n}", 2) for n in range(4)]
+THIN = {"gateways": 100, "may_probe": True}
+
+
+def trial(took, fails=None, until=16_000, **changes):
+    """A build on trial with every instance warm but the clock of its stage just begun."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), **{"stage_caps": [1.0, 1.0], **changes})
+    bench.serve(until * MS, took, groups=("look", "hold"), fails=fails)
+    return [(now, verdict) for now, _, (_, _, verdict) in bench.host.named("vote")], bench
+
+
+def steady(bad=100):
+    dice = Chance(3)
+    return lambda id: (60 + dice.below(80) if id[0] == "i" else bad * (60 + dice.below(80)) / 100) * MS
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -1,19 +1,15 @@
 """Manifests, the store and the journal under cut power, fetching from sources that misbehave."""
-import base64
 import errno
-import json
 import os
 
 import pytest
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
-from hypothesis import given, settings
+from builders import FILES, GOOD, KEYS, RING, build, fixed, key
+from hypothesis import given
 from hypothesis import strategies as st
 
-from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import (
     Downgraded,
     Expired,
-    Key,
     KeyOutOfTime,
     Malformed,
     Oversized,
@@ -28,27 +24,9 @@
     read_manifest,
     write_ring,
 )
-from cobaltpond.builds.plan import FetchPlan
 from cobaltpond.builds.store import Full, Rotten, Store, WrongDigest
 from cobaltpond.keep import Broken, Journal
-from cobaltpond.loop import Deadline, EpollKernel, Loop, Refused
-from cobaltpond.loop.chance import seeded
-from cobaltpond.standins.buildserver import BuildServer, make_build
-
-KEYS = {name: Ed25519PrivateKey.from_private_bytes(bytes([n]) * 32) for n, name in enumerate(("one", "two", "old"))}
-fixed = settings(derandomize=True, deadline=None, max_examples=100)
-
-
-def key(name, since=0, until=1000):
-    return Key(name, base64.b64encode(KEYS[name].public_key().public_bytes_raw()).decode(), since, until)
-
-
-RING = Ring(1, [key("one"), key("old", 0, 100)])
-FILES = {"serve": b"#!/bin/sh\n" * 900, "lib/a.bin": bytes(range(256)) * 64, "empty": b""}
-
-
-def build(number=42, signers=("one",), files=FILES, **more):
-    return make_build(number, files, {s: KEYS[s] for s in signers}, 10, 900, **more)
+from cobaltpond.loop import EpollKernel, Refused
 
 
 def changed(data, old, new):
@@ -56,9 +34,6 @@
     return data.replace(old, new, 1)
 
 
-GOOD = build()[0]
-
-
 @pytest.mark.parametrize("data, error, more", [
     (GOOD, Oversized, {"most_size": 1000}), (b"x" * (9 << 20), Oversized, {}),
     (changed(GOOD, b"-1 ", b"-1 9999"), Oversized, {}), (GOOD[:15], Truncated, {}), (GOOD[:300], Truncated, {}),
@@ -323,130 +298,3 @@
         store.put(name, chunks[name])
     store.assemble(manifest, signed)
     assert store.sound(manifest) and store.builds() == [42]
-
-
-# --- fetching --------------------------------------------------------------------------------------------------
-
-
-class Yard:
-    def __init__(self, tmp_path, servers=1, **more):
-        self.loop = Loop(EpollKernel())
-        self.servers = [BuildServer(self.loop, self.loop.kernel.listen(("127.0.0.1", 0), 32)) for _ in range(servers)]
-        self.store = Store(self.loop.kernel, str(tmp_path / "store"))
-        self.fetcher = Fetcher(self.loop, self.store, [s.address for s in self.servers], seeded(1).randrange,
-                               **{"grace": 300_000, **more})
-
-    def add(self, signed, chunks, servers=None):
-        for server in servers or self.servers:
-            server.add(42, signed, chunks)
-        return read_manifest(signed, RING, 500)
-
-    def run(self, manifest, bound=10_000_000):
-        def go():
-            with Deadline(self.loop, bound):
-                yield from self.fetcher.fetch(manifest)
-        try:
-            self.loop.run(self.loop.spawn(go(), "fetch"))
-        finally:
-            self.loop.close()
-            self.store.close()
-
-
-@pytest.mark.parametrize("way, lost", [("cut 1000", "cut"), ("cut 0", "cut"), ("lie", "length"), ("junk", "digest"),
-                                       ("slow", "slow"), ("redirect", "redirect"), ("status", "status"),
-                                       ("redirect http://127.0.0.1:9/x", "redirect")])
-def test_one_bad_source_beside_a_good_one(tmp_path, way, lost):
-    yard = Yard(tmp_path, servers=2)
-    manifest = yard.add(*build())
-    yard.servers[0].ways["*"] = [(way, 1 << 30)]
-    yard.run(manifest)
-    assert yard.store.missing(manifest) == {} and yard.fetcher.lost.get(lost)
-
-
-def test_a_cut_at_any_byte_goes_on_where_it_stopped(tmp_path):
-    yard = Yard(tmp_path)
-    signed, chunks = build(files={"serve": bytes(range(250)) * 16})
-    manifest, (name,) = yard.add(signed, chunks), chunks
-    yard.servers[0].ways[f"/chunks/{name}"] = [(f"cut {n}", 1) for n in (0, 1, 999, 1, 2998)] + [("cut 0", 1)]
-    yard.run(manifest)
-    assert yard.servers[0].sent == 4000 and yard.store.missing(manifest) == {}
-
-
-def test_a_source_without_ranges_begins_anew(tmp_path):
-    yard = Yard(tmp_path)
-    signed, chunks = build(files={"serve": bytes(range(250)) * 16})
-    manifest, (name,) = yard.add(signed, chunks), chunks
-    yard.servers[0].ways[f"/chunks/{name}"] = [("cut 1000", 1), ("norange", 9)]
-    yard.run(manifest)
-    assert yard.servers[0].sent == 5000 and yard.store.missing(manifest) == {}
-
-
-def test_a_fetch_that_gets_nowhere_ends(tmp_path):
-    yard = Yard(tmp_path)
-    manifest = yard.add(*build())
-    yard.servers[0].ways["*"] = [("junk", 1 << 30)]
-    with pytest.raises(FetchFailed, match="no source left"):
-        yard.run(manifest)
-    assert not yard.store.chunks
-
-
-def test_a_chunk_that_two_builds_share_is_fetched_once(tmp_path):
-    yard = Yard(tmp_path)
-    body = seeded(5).randbytes(400_000)
-    first = yard.add(*build(41, files={"serve": body}))
-    second = yard.add(*build(42, files={"serve": body[:360_000] + seeded(6).randbytes(40_000)}))
-
-    def both():
-        yield from yard.fetcher.fetch(first)
-        before = yard.fetcher.bytes
-        yield from yard.fetcher.fetch(second)
-        return before, yard.fetcher.bytes - before
-    before, after = yard.loop.run(yard.loop.spawn(both(), "both"))
-    assert before == 400_000 and after <= 44_096 and len(yard.servers[0].asked) == len(set(yard.servers[0].asked))
-
-
-def test_no_more_than_the_rate_and_no_more_than_the_disk(tmp_path):
-    yard = Yard(tmp_path, rate=100_000)
-    manifest = yard.add(*build(files={"serve": bytes(50_000)[:1] + seeded(3).randbytes(50_000)}))
-    began = yard.loop.kernel.now()
-    yard.run(manifest)
-    assert yard.loop.kernel.now() - began > 350_000
-    yard = Yard(tmp_path / "other")
-    yard.store.most = 1000
-    with pytest.raises(Full):
-        yard.run(yard.add(*build()))
-    assert not yard.servers[0].asked
-
-
-@fixed
-@given(st.integers(0, 1 << 30), st.lists(st.sampled_from(["ok", "cut", "slow", "refused", "digest", "length"]),
-                                         max_size=60))
-def test_every_plan_ends_and_asks_nobody_who_lied_about_a_chunk(seed, ends):
-    plan = FetchPlan({f"c{n}": 100 for n in range(6)}, ["a", "b", "c"], seeded(seed).randrange, most=3)
-    now, out, lied, steps = 0, [], set(), 0
-    while True:
-        steps += 1
-        assert steps < 2000
-        step = plan.next(now)
-        if step is None:
-            chunk, source = out.pop(0)
-            how = ends[steps % len(ends)] if ends else "ok"
-            if how == "ok":
-                plan.got(chunk.name)
-            else:
-                lied |= {(chunk.name, source)} if how in ("digest", "length") else set()
-                plan.lost(now, chunk.name, how, 10)
-        elif step[0] == "get":
-            assert (step[1].name, step[2]) not in lied
-            out.append(step[1:])
-        elif step[0] == "wait":
-            assert step[1] > now
-            now = step[1]
-        else:
-            assert not out and (step[0] == "failed" or plan.done)
-            return
-
-
-def test_json_of_a_manifest_is_what_the_page_says():
-    body = json.loads(GOOD.split(b"\n")[1])
-    assert set(body) == {"build", "made", "expires", "chunk", "files", "entry", "health", "earlier"}
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -181,6 +181,7 @@
 
 def test_the_runsheet_has_what_the_decisions_pick():
     import re
-    text = open("cobaltpond/decisions/rules.py").read() + open("cobaltpond/decisions/records.py").read()
+    text = "".join(open(f"cobaltpond/decisions/{name}.py").read()
+                   for name in ("rules", "choosing", "judging", "voting", "records"))
     picked = set(re.findall(r'sheet(?:\.get\(|\[)"([a-z_]+)"', text)) - {"customers"}
     assert picked and not picked - set(read_sheet("x", EXAMPLE).runsheet(1)), picked
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -1,78 +1,20 @@
 """One suite over both kernels: what a program can see of sockets, files and children must be the same on each."""
-import os
-import sys
 
+import conform_files  # noqa: F401  (its cases)
 import pytest
+from conform import CASES, HERE, MS, case, on_epoll, on_virtual, pair, told, within
 
 from cobaltpond.loop import (
     Connection,
     Deadline,
-    EpollKernel,
-    HandlesUsedUp,
-    Loop,
     PeerLost,
     Readable,
     Refused,
     Sleep,
     TimedOut,
-    Unreachable,
     Writable,
     dial,
 )
-from cobaltpond.sim.machine import Machine
-
-MS = 1000
-HERE = ("127.0.0.1", 0)
-
-
-def on_epoll(case, folder):
-    loop = Loop(EpollKernel())
-    try:
-        return loop.run(loop.spawn(case(loop, folder), "case"))
-    finally:
-        loop.close()
-
-
-def on_virtual(case, folder):
-    machine = Machine(1)
-    kernel = machine.process("case", ["case"])
-    kernel.make_folder("/case")
-    loop = Loop(kernel)
-    kernel.drive(loop, loop.spawn(case(loop, "/case"), "case"))
-    machine.world.run(lambda: kernel.process.code is not None, machine.world.begin + 60_000_000)
-    if kernel.process.code:
-        raise kernel.process.failure
-    return kernel.process.result
-
-
-CASES = []
-
-
-def case(function):
-    CASES.append(function)
-    return function
-
-
-def pair(loop):
-    """Both ends of a stream, and its listener."""
-    listener = loop.kernel.listen(HERE, 8)
-    one = yield from dial(loop, listener.address(), 500 * MS)
-    while (handle := listener.accept()) is None:
-        yield Readable(listener)
-    return one, Connection(loop, handle), listener
-
-
-def told(call):
-    """What a call gives, or the name of what it raises."""
-    try:
-        return call()
-    except (PeerLost, Refused, Unreachable, HandlesUsedUp, OSError) as trouble:
-        return type(trouble).__name__
-
-
-def within(loop, connection):
-    with Deadline(loop, 500 * MS):
-        return (yield from connection.read())
 
 
 @case
@@ -354,127 +296,6 @@
     return seen == sorted(seen), loop.kernel.wall() > 1_600_000_000_000_000
 
 
-def file_case(function):
-    def whole(loop, folder):
-        return function(loop.kernel, folder)
-        yield
-    whole.__name__ = function.__name__
-    CASES.append(whole)
-
-
-@file_case
-def a_file_that_is_not_there(kernel, folder):
-    return (kernel.read_file(f"{folder}/no"), kernel.size(f"{folder}/no"), kernel.list_folder(f"{folder}/no"),
-            told(lambda: kernel.age(f"{folder}/no")), told(lambda: kernel.truncate(f"{folder}/no", 1)),
-            told(lambda: kernel.rename(f"{folder}/no", f"{folder}/x")), kernel.remove(f"{folder}/no"),
-            told(lambda: kernel.write_file(f"{folder}/no/file", b"")), told(lambda: kernel.sync_folder(f"{folder}/no")))
-
-
-@file_case
-def written_replaced_and_listed(kernel, folder):
-    kernel.make_folder(f"{folder}/a/b")
-    kernel.make_folder(f"{folder}/a/b")
-    kernel.write_file(f"{folder}/a/z", b"one")
-    kernel.write_file(f"{folder}/a/z", b"2")
-    kernel.replace_file(f"{folder}/a/y", b"two")
-    kernel.replace_file(f"{folder}/a/y", b"three", sync=False)
-    kernel.sync_folder(f"{folder}/a")
-    return (kernel.list_folder(f"{folder}/a"), kernel.read_file(f"{folder}/a/z"), kernel.read_file(f"{folder}/a/y"),
-            kernel.size(f"{folder}/a/y"), kernel.age(f"{folder}/a/y") < 5_000_000, kernel.free_space(folder) > 0)
-
-
-@file_case
-def folders_are_renamed_and_removed_whole(kernel, folder):
-    kernel.make_folder(f"{folder}/new/tree")
-    kernel.write_file(f"{folder}/new/tree/file", b"x", 0o755)
-    kernel.rename(f"{folder}/new", f"{folder}/42")
-    there = kernel.read_file(f"{folder}/42/tree/file"), kernel.list_folder(f"{folder}/new")
-    kernel.make_folder(f"{folder}/full")
-    kernel.write_file(f"{folder}/full/file", b"y")
-    clash = told(lambda: kernel.rename(f"{folder}/42", f"{folder}/full"))
-    kernel.remove(f"{folder}/42")
-    return there, clash, kernel.list_folder(folder)
-
-
-@file_case
-def a_file_over_a_file_and_a_folder_over_one(kernel, folder):
-    kernel.write_file(f"{folder}/a", b"a")
-    kernel.write_file(f"{folder}/b", b"b")
-    kernel.rename(f"{folder}/a", f"{folder}/b")
-    return kernel.list_folder(folder), kernel.read_file(f"{folder}/b"), told(lambda: kernel.make_folder(f"{folder}/b"))
-
-
-@file_case
-def appended_flushed_and_cut(kernel, folder):
-    file = kernel.append_file(f"{folder}/log")
-    file.write(b"one\n")
-    before = kernel.read_file(f"{folder}/log")
-    file.flush()
-    after = kernel.read_file(f"{folder}/log")
-    file.write(b"two\n")
-    file.sync()
-    file.close()
-    kernel.truncate(f"{folder}/log", 6)
-    again = kernel.append_file(f"{folder}/log")
-    again.write(b"!")
-    again.close()
-    again.close()
-    return before, after, kernel.read_file(f"{folder}/log")
-
-
-@file_case
-def a_large_write_does_not_wait_for_a_flush(kernel, folder):
-    file = kernel.append_file(f"{folder}/log")
-    for _ in range(40):
-        file.write(bytes(10_000))
-    return kernel.size(f"{folder}/log") > 0
-
-
-@file_case
-def a_lock_is_held_by_one(kernel, folder):
-    held = kernel.lock(f"{folder}/lock")
-    second = told(lambda: kernel.lock(f"{folder}/lock"))
-    held.close()
-    return second, told(lambda: kernel.lock(f"{folder}/lock").close())
-
-
-@file_case
-def programs_that_are_not_there_or_no_programs(kernel, folder):
-    kernel.write_file(f"{folder}/data", b"no program", 0o755)
-    return (told(lambda: kernel.spawn([f"{folder}/none"], f"{folder}/out")),
-            told(lambda: kernel.spawn([f"{folder}/data"], f"{folder}/out")), kernel.adopt("nobody carries this"))
-
-
-@case
-def a_child_that_ends_by_itself(loop, folder):
-    loop.kernel.write_file(f"{folder}/serve", b"#!/bin/sh\nexit 3\n", 0o755)
-    child = loop.kernel.spawn([f"{folder}/serve"], f"{folder}/out", "a-mark-of-its-own")
-    with Deadline(loop, 5_000 * MS):
-        while child.ended() is None:
-            yield Sleep(5 * MS)
-    child.signal("KILL")                               # nobody is hit by a signal to who is gone
-    return child.ended(), loop.kernel.adopt("a-mark-of-its-own")
-
-
-@case
-def a_child_that_is_stopped_goes_on_and_is_killed(loop, folder):
-    sheet = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "examples", "resale.star")
-    loop.kernel.write_file(f"{folder}/sheet.star", open(sheet, "rb").read().replace(b"/var/lib", folder.encode()))
-    child = loop.kernel.spawn([sys.executable, "-m", "cobaltpond", "gateway", f"{folder}/sheet.star", "--number", "0"],
-                              f"{folder}/out.log", "another-mark")
-    yield Sleep(5 * MS)
-    found = loop.kernel.adopt("another-mark")
-    child.signal("STOP")
-    yield Sleep(5 * MS)
-    stopped = child.ended()
-    child.signal("CONT")
-    child.signal("KILL")
-    with Deadline(loop, 5_000 * MS):
-        while child.ended() is None:
-            yield Sleep(5 * MS)
-    return found is not None and found.pid == child.pid, stopped, child.ended(), found.ended()
-
-
 @pytest.mark.parametrize("case", CASES, ids=lambda function: function.__name__)
 def test_both_kernels_show_the_same(case, tmp_path):
     folders = [tmp_path / "epoll", tmp_path / "virtual"]
--- /dev/null
+++ b/tests/test_thin.py
@@ -0,0 +1,345 @@
+"""The module: what was found on hundreds of gateways, a test each."""
+
+import pytest
+from helpers import MS, NEW, OLD, THIN, Bench, row, steady
+
+from cobaltpond.decisions.figures import bearable, chance_of
+from cobaltpond.decisions.records import Chance, Sample
+from cobaltpond.decisions.told import Told
+
+
+def test_level_bears_as_many_errors_as_the_votes_make_harmless():
+    assert bearable(1, 0.0001) == pytest.approx(0.0001)
+    lone, many = Bench(OLD, gateways=500).gateway, Bench(OLD, gateways=500, back_votes=25).gateway
+    assert many.level < lone.level == many.strict and many.least < lone.least
+    assert chance_of(25, bearable(25, 0.0001)) < 0.0001
+
+
+@pytest.mark.parametrize("left, still", [(300 * MS, 0), (2000 * MS, 1000 * MS)])
+def test_little_time_left_or_a_gateway_that_stood_still_is_no_sign_against_an_instance(left, still):
+    bench = Bench(OLD + NEW, gateways=100)
+    for _ in range(40):
+        bench.hit(left=left)
+        bench.host.now += still                        # no event reaches it meanwhile
+        if still:
+            bench.end(bench.host.open[0], "ok")
+            bench.gateway.on_wake(bench.host.now, 0)
+        bench.run(bench.host.now + 500 * MS)
+    assert len(bench.host.named("forward")) == 40 and not bench.host.named("cancel")
+    assert bench.gateway.admitted == 1 and not any(b.samples for b in bench.gateway.fleet.builds.values())
+
+
+def test_errors_below_the_least_sample_say_nothing():
+    gateway = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), gateways=47).gateway
+    build = gateway.fleet.builds[2]
+    assert gateway.errors_say(build, "all", (4, 5, 0, 85), gateway.level) == "fine"
+    assert gateway.errors_say(build, "all", (6, 9, 0, 85), gateway.level) == "fail"
+
+
+def test_many_votes_let_a_thin_gateway_speak_up_on_a_handful_of_hits():
+    votes = []
+    for needed in (1, 25):
+        many = {"gateways": 500, "back_votes": needed, "stage_caps": [1.0, 1.0]}
+        bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), **many)
+        bench.serve(14_000 * MS, steady(400), every=400 * MS)
+        votes.append({a[2] for _, _, a in bench.host.named("vote")})
+    assert "back" not in votes[0] and "back" in votes[1]
+
+
+def test_weeks_without_a_release_keep_no_more_than_days():
+    """Found by the soak on sockets: evidence was trimmed only where a build was judged."""
+    bench = Bench([row("a"), row("b")], keys_stay=True)
+    for n in range(3000):
+        bench.hit(key=n)
+        bench.end(bench.host.open[-1])
+        bench.host.now += 10 * MS
+        bench.host.calls.clear()
+    build = bench.gateway.fleet.build(1)
+    assert len(build.samples["look"]) <= 480
+    bench.news(2, 0, "trial", 0.2)
+    bench.news(3, 0, "trial", 0.2)
+    assert not bench.gateway.kept_keys
+
+
+def test_a_late_answer_of_the_earlier_build_does_not_lower_a_kept_key():
+    """Found by simulation: a forward to the earlier build was out while the new one answered the same key."""
+    bench = Bench([row("a"), row("b", 2)], news=(2, 0, "trial", 1.0), keys_stay=True, stage_caps=[1.0, 1.0])
+    forwards = {}
+    while set(forwards) != {"a", "b"}:
+        bench.hit(key=7)
+        forwards[bench.host.open[-1][3]] = bench.host.open[-1]
+    bench.end(forwards["b"])
+    bench.host.now += 10 * MS
+    bench.end(forwards["a"])
+    for forward in list(bench.host.open):
+        bench.end(forward)
+    bench.host.now += 10 * MS
+    before = len(bench.host.named("forward"))
+    for _ in range(20):
+        bench.hit(key=7)
+    assert {a[1] for _, _, a in bench.host.named("forward")[before:]} == {"b"}
+
+
+@pytest.mark.parametrize("first", ["news", "newest row"])
+def test_gateway_that_starts_in_mid_trial_knows_the_earlier_build(first):
+    """Whatever it hears first, the build on trial is judged against the one before it."""
+    bench = Bench([], news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0]) if first == "news" else Bench(
+        [], news=(0, 0, "released", 1.0), stage_caps=[1.0, 1.0])
+    bench.gateway.on_list(bench.host.now, True, NEW + OLD if first == "newest row" else OLD + NEW)
+    bench.news(2, 0, "trial", 1.0)
+    assert bench.gateway.newest.earlier.number == 1
+    bench.serve(8_000 * MS, steady(), fails=lambda id: id[0] == "n")
+    assert "back" in {verdict for _, _, (_, _, verdict) in bench.host.named("vote")}
+
+
+def test_a_hit_that_takes_most_of_its_target_latency_is_not_called_off():
+    """Few hits reach an instance at a time: that nothing else was heard of it meanwhile is no sign of silence."""
+    bench = Bench(OLD[:2])
+    bench.serve(6_000 * MS, lambda id: 450 * MS, every=400 * MS)             # of 600
+    assert len(bench.host.named("forward")) > 10 and bench.host.named("cancel", "bounce", "error") == []
+
+
+PRICED = {**THIN, "probe_price": 0.08}
+
+
+def test_no_probe_where_it_costs_more_than_the_hits_it_may_spare():
+    bench = Bench(OLD, **PRICED)
+    bench.serve(4_000 * MS, lambda id: 100 * MS)
+    assert len(bench.host.named("forward")) > 90 and bench.host.named("probe") == []
+    while bench.host.open:
+        bench.end(bench.host.open[0], "ok")
+    bench.hit()
+    bench.end(bench.host.open[0], "unreachable")       # one dial in ten fails, as far as it knows
+    bench.hit()
+    assert len(bench.host.named("probe")) == 1
+
+
+def slow_one(answers):
+    """A thin gateway with one hit out for longer than it waits before it asks the instance; its probes are answered
+    or not."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit()
+    bench.run(450 * MS)                                # of 600
+    (_, _, (asked,)), = bench.host.named("probe")
+    assert asked == bench.host.open[0][3] and bench.host.named("cancel") == []
+    if answers:
+        bench.gateway.on_probed(bench.host.now, asked, "ok", MS, {"inflight": 9})
+    bench.run(600 * MS)
+    return bench, asked
+
+
+def test_a_busy_instance_that_answers_when_asked_is_not_called_off():
+    bench, asked = slow_one(True)
+    assert bench.host.named("cancel") == [] and len(bench.host.named("probe", "forward")) == 2
+    assert bench.gateway.fleet.by_id[asked].benched_until == 0
+
+
+def test_an_instance_that_says_nothing_when_asked_is_called_off_and_the_hit_goes_elsewhere():
+    bench, asked = slow_one(False)
+    assert len(bench.host.named("cancel")) == 1 and bench.gateway.fleet.by_id[asked].benched_until > 0
+    assert bench.host.open[0][3] != asked
+
+
+def test_late_answers_to_what_went_out_before_the_last_cut_cut_no_more():
+    bench = Bench(OLD, gateways=100, may_cancel=False)
+    for _ in range(8):
+        bench.hit()
+    bench.run(700 * MS)                                # of 600
+    while bench.host.open:
+        bench.end(bench.host.open[0], "ok")
+        bench.run(bench.host.now + 25 * MS)
+    assert bench.gateway.admitted == 0.7
+    bench.gateway.admitted = 1.0
+    bench.hit()
+    bench.run(bench.host.now + 700 * MS)
+    bench.end(bench.host.open[0], "ok")
+    assert bench.gateway.admitted == 0.7
+
+
+def test_load_that_moves_to_a_released_build_is_no_evidence_against_it():
+    """The hits of both builds go to the new one once the earlier one drains. What was slow in the trial counts on."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.5), stage_caps=[0.5, 1.0], gate="clock", layout="beside")
+    bench.serve(6_000 * MS, steady(), groups=("look",))
+    gateway, released = bench.gateway, bench.host.now
+    bench.news(2, 0, "released", 1.0)
+    bench.serve(7_000 * MS, steady(), groups=("look",))
+    bench.gateway.on_list(bench.host.now, False, [{**one, "state": "draining"} for one in OLD])
+    bench.serve(9_000 * MS, steady(500), groups=("look",))
+    new, old = (gateway.window(b, gateway.groups["look"], bench.host.now)
+                for b in (gateway.newest, gateway.newest.earlier))
+    pairs, alone = gateway.alike(new, old, bench.host.now)
+    assert sum(s.at > released for s in new) > 30 and alone == []
+    counted = sum(len(some) for some, _ in pairs)
+    assert 0 < counted <= sum(s.at <= released for s in new)
+
+
+def test_hits_that_end_when_the_earlier_build_gets_no_more_are_not_ranked_with_its_own():
+    """In place: the earlier instances leave one after another, the last hits they had are quick."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+    bench.serve(3_000 * MS, steady(), groups=("look", "hold"))
+    bench.gateway.on_list(bench.host.now, False, [{**one, "state": "gone"} for one in OLD])
+    bench.serve(3_500 * MS, steady(500), groups=("look", "hold"))
+    gateway = bench.gateway
+    for group in gateway.groups.values():
+        new, old = (gateway.window(build, group, bench.host.now) for build in (gateway.newest, gateway.newest.earlier))
+        pairs, alone = gateway.alike(new, old, bench.host.now)
+        last = max(sample.at - sample.latency for sample in old) if old else 0
+        paired, since = sum(len(some) for some, _ in pairs), max(new[0].at, old[0].at) if new and old else 0
+        assert paired == sum(since <= sample.at <= last for sample in new) or group.name == "pay"
+        assert alone or group.name == "pay"
+
+
+def test_a_slow_hit_cuts_the_share_before_its_answer_comes():
+    """Guards against a jam whose answers take several times the target latency: until then all would be let in."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit()
+    bench.run(450 * MS)                                # of 600
+    (_, _, (asked,)), = bench.host.named("probe")
+    bench.gateway.on_probed(bench.host.now, asked, "ok", MS, {"inflight": 9})
+    assert bench.gateway.admitted == 1.0
+    bench.run(700 * MS)
+    assert bench.gateway.admitted == 0.7 and bench.host.open
+
+
+def test_trust_in_a_build_draws_no_more_to_it_from_hundreds_of_gateways_than_from_a_few():
+    """A lean of its own at each of them would send all hits of a fleet to the few instances of a stage."""
+    shares = []
+    for gateways in (3, 180):
+        bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0], gateways=gateways, layout="beside")
+        bench.gateway.trusted = True
+        for _ in range(60):
+            bench.hit()
+            bench.end(bench.host.open[0])
+            bench.host.now += 10 * MS
+        sent = [a[1] for _, _, a in bench.host.named("forward")]
+        shares.append(sum(id[0] == "n" for id in sent) / len(sent))
+    assert shares[0] == 1.0 and 0.3 < shares[1] < 0.5                      # 4 of 10 instances
+
+
+def test_few_errors_spread_over_many_instances_are_seen():
+    """Each of 30 instances errs once in a while: leaving out the worst third of them would leave out every error."""
+    old, new = ([row(f"{mark}{n:02}", build, cell=n // 3) for n in range(30)] for mark, build in (("i", 1), ("n", 2)))
+    bench = Bench(old + new, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+    gateway, group = bench.gateway, bench.gateway.groups["look"]
+    for n in range(3_600):                             # 600 of the new build, of which 12 errors at 12 instances
+        instance = gateway.fleet.by_id[f"{'i' if n % 6 else 'n'}{n // 6 % 30:02}"]
+        errored = instance.id[0] == "n" and n >= 3_600 - 12 * 6
+        latency = (2500 if errored else 80) * MS
+        gateway.enter_sample(group, Sample(n * MS, latency, errored, instance, n // 1_000, 1.0, 0), n * MS)
+    assert gateway.look(gateway.newest, 3_600 * MS) == "fail"
+
+
+def test_what_is_kept_of_a_busy_build_is_not_the_long_part_of_it():
+    """Both builds are alike, quick mostly and long at times; the newer one gets most hits, so that what is kept of it
+    reaches less far back: of its hits sent long ago only the long ones are still there."""
+    old, new = ([row(f"{mark}{n:02}", build, cell=n // 3) for n in range(30)] for mark, build in (("i", 1), ("n", 2)))
+    bench = Bench(old + new, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+    gateway, group, dice = bench.gateway, bench.gateway.groups["look"], Chance(3)
+    ended = []
+    for n in range(12_000):                            # one a millisecond, a tenth of them to the earlier build
+        instance = gateway.fleet.by_id[f"{'n' if n % 10 else 'i'}{dice.below(30):02}"]
+        latency = (1500 if dice.below(10) < 2 else 60 + dice.below(80)) * MS
+        ended.append((n * MS + latency, n, Sample(
+            n * MS + latency, latency, False, instance, n * MS // gateway.stretch, 1.0, 0)))
+    said = []
+    for at, n, sample in sorted(ended):
+        gateway.enter_sample(group, sample, at)
+        if n % 200 == 0 and n > 4_000:
+            said.append(gateway.look(gateway.newest, at))
+    assert len(said) > 30 and "fail" not in said and said.count("suspect") < len(said) / 5
+
+
+def test_an_error_that_is_told_is_placed_in_its_own_time():
+    """It counts as a time-out, and yet nothing was waited for: dated back by one it lay among quieter hits."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), may_tell=True, gateways=180)
+    gateway = bench.gateway
+    instance = gateway.fleet.by_id[NEW[0]["id"]]
+    for errored in (True, False):
+        told = Told.pack(Sample(0, 2500 * MS, errored, instance, 0, 1.0, 0), 0)
+        gateway.on_peer(90_000 * MS, 5, told)
+    first, second = instance.build.samples["look"]
+    assert (first.stretch, second.stretch) == (90_000 * MS // gateway.stretch, 87_500 * MS // gateway.stretch)
+    assert first.errored and first.latency == 2500 * MS
+
+
+def judge_of(bench, living):
+    bench.gateway.on_members(bench.host.now, living)
+    return bench.gateway.judges(bench.gateway.newest)
+
+
+def test_a_judge_that_dies_gives_place_to_one_that_is_told_what_was_seen_and_nobody_is_told_twice():
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0], may_tell=True, gateways=20, number=3)
+    everybody = {n: 100 + n for n in range(20) if n != 3}     # ours may judge too: not here
+    first = judge_of(bench, everybody)
+    bench.serve(3_000 * MS, steady())
+    told = bench.host.named("tell")
+    assert {a[0] for _, _, a in told} == set(first) and all(len(a[1]) == 8 for _, _, a in told)
+    second = judge_of(bench, {n: at for n, at in everybody.items() if n != first[0]})
+    fresh = [n for n in second if n not in first]
+    again = bench.host.named("tell")[len(told):]
+    assert len(fresh) == 1 and {a[0] for _, _, a in again} == set(fresh) and 8 <= len(again) <= 40
+    assert all(Told.unpack(a[1])[5] >= 0 for _, _, a in again) and max(Told.unpack(a[1])[5] for _, _, a in again) > 0
+    count = len(bench.host.named("tell"))
+    judge_of(bench, {n: at for n, at in everybody.items() if n != first[0]})
+    judge_of(bench, everybody)                         # the first is back, of the same start: it knows
+    assert len(bench.host.named("tell")) == count
+    judge_of(bench, everybody | {first[0]: 999})       # it was restarted, and knows nothing
+    assert {a[0] for _, _, a in bench.host.named("tell")[count:]} == {first[0]}
+
+
+def test_no_word_of_another_gateway_opens_anything():
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), stage_caps=[1.0, 1.0])
+
+    def sent(count=40):
+        before = len(bench.host.named("forward"))
+        for _ in range(count):
+            bench.hit()
+            if bench.host.open:
+                bench.end(bench.host.open[0])
+            bench.host.now += 10 * MS
+        return {a[1][0] for _, _, a in bench.host.named("forward")[before:]}
+    assert "n" in sent()
+    bench.gateway.on_shut(bench.host.now, 2)
+    assert sent() == {"i"}
+    bench.news(2, 0, "trial", 1.0)
+    bench.gateway.on_shut(bench.host.now, None)        # as the host says it once the desk has spoken
+    assert "n" in sent()
+    tags = [Told.mark(one["id"], 1) for one in OLD]
+    bench.gateway.on_drains(bench.host.now, tags + [1, 2])
+    assert sent() == {"n"}
+    bench.gateway.on_list(bench.host.now, False, [OLD[0]])
+    bench.news(2, 0, "going back", 0.0)
+    assert sent() == {"i"}
+    bench.gateway.on_shut(bench.host.now, None)        # opens nothing that the desk has shut
+    assert sent() == {"i"}
+
+
+def test_where_keys_stay_no_more_of_them_are_bound_to_a_trial_than_its_cap_serves():
+    """One by one all keys were bound to it, and what its cap did not allow was bounced."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.2), stage_caps=[0.2, 1.0], keys_stay=True, exposure_free=50)
+    for n in range(2_000):
+        bench.hit(key=n % 40)
+        bench.end(bench.host.open[0])
+        bench.host.now += 20 * MS
+    assert not bench.host.named("bounce")
+    bound = [key for key, build in bench.gateway.kept_keys.items() if build.number == 2]
+    assert 2 <= len(bound) <= 16                       # 8 on the mean
+    other = Bench(OLD + NEW, news=(2, 0, "trial", 0.2), stage_caps=[0.2, 1.0], keys_stay=True, seed=9, number=2)
+    assert all(other.gateway.spares(key, other.gateway.newest) == (key in bound) for key in range(40))
+    other.news(2, 1, "trial", 1.0)
+    assert all(other.gateway.spares(key, other.gateway.newest) for key in range(40))
+
+
+def test_a_silent_forward_that_may_not_be_called_off_counts_once():
+    """The probe that goes unanswered is the sign; the forward stays out and is looked at again and again."""
+    bench = Bench(OLD[:2], **PRICED)
+    bench.run(100 * MS)
+    bench.hit("pay")
+    bench.run(650 * MS)                                # of 800, and two ticks
+    (_, _, (asked,)), = bench.host.named("probe")
+    bench.gateway.on_probed(bench.host.now, asked, "timeout", 250 * MS, {})
+    bench.run(1_500 * MS)
+    assert bench.host.open and bench.host.named("cancel") == []
+    assert bench.gateway.fleet.by_id[asked].benched_until > 0 and bench.gateway.shy == pytest.approx(0.1)
--- a/tests/world.py
+++ b/tests/world.py
@@ -206,3 +206,11 @@
             return
         world.got.append((head, got))
         yield from connection.write(http1.response(200, list(fields), body))
+
+
+def endings(world):
+    return {seen: n for seen, n in world.process.forwards.seen.items() if n and seen != "answer"}
+
+
+def hits(world):
+    return {k: v for k, v in world.process.door.counts.items()}
