A connection rests after an answer; nothing stays open at the end; why hits are given up

(1) "A second answer may come some milliseconds late": a kept connection was given out again at once, the newest first, so the second answer passed for the answer to the next hit (`gateway/instances.take`). Seen with an instance that answers each hit again 2 ms later: hit 2 got hit 1's value. (2) "Clients send on every connection that stays open, up to SIGKILL": a connection that came out of the backlog last was not there when idle ones were ended (`edge/door.drain`) and stayed open to the end; a hit sent there in the last 100 ms was taken and lost. (3) Nothing said why hits were given up.

Change: a connection rests 50 ms (the protocol's own slack for times) before the next hit goes over it, off by default over HTTP (`rest_time`); idle connections are ended at each look of a drain and once more at its end; the module counts the hits that it gives up by reason, shown in the log and the status. Decisions are the same.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -1,10 +1,10 @@
 """All decisions of one gateway: which instance gets a hit, what proves a build bad, how the gateway votes.
 
 A host makes one `Gateway(host, now, seed, runsheet)` a start and calls its `on_...` methods, one an event; it
-answers by calling the host (`interface.py`). What is kept stands in `records.py`. Times are microseconds. Here:
-the list, and a hit from its taking to its final answer. Its parts: `choosing.py`, `judging.py`, `voting.py`.
+answers by calling the host (`interface.py`). What is kept stands in `records.py`. Times are microseconds.
+Here: the list, and a hit from its taking to its final answer; the rest is in choosing, judging and voting.
 """
-from collections import deque
+from collections import Counter, deque
 from math import ceil, inf, sqrt
 from statistics import NormalDist
 
@@ -38,6 +38,7 @@
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
+        self.given_up = Counter()                      # hits given up, by why
         self.admitted_cut, self.late = now, 0.0        # when last cut; share of answers that came late
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
@@ -130,14 +131,16 @@
             hit.free.append(instance)
             self.place(hit, now)
 
-    def may_forward(self, hit, now):
+    def barred(self, hit, now):
+        """Why no further forward may go out; None where one may."""
         # two ticks early: one held past that could not be answered before its client has left
         if len(hit.forwards) >= self.sheet.get("most_forwards", 1) or now + 2 * self.tick >= hit.deadline:
-            return False
+            return "no time" if now + 2 * self.tick >= hit.deadline else "forwards used up"
         if now - hit.arrived > (USEFUL_SHARE if hit.forwards else HELD_SHARE) * hit.group.target:
-            return False
+            return "late after a forward" if hit.forwards else "no place that fits"
         remembered = hit.risky and now - hit.risky.sent < hit.group.repeat_window - self.tick
-        return not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
+        may = not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
+        return None if may else "may not be repeated"
 
     def admits(self, hit):
         """A thin gateway's limit in flight: a share of its hits is bounced at once, clients' repeats and the
@@ -146,8 +149,11 @@
         return not self.thin or self.chance.below(1000) < 1000 * self.admitted ** power
 
     def place(self, hit, now):
-        if not self.may_forward(hit, now) or hit.state == State.TAKEN and not self.admits(hit):
-            return self.give_up(hit, now)
+        why = self.barred(hit, now)
+        if why is None and hit.state == State.TAKEN and not self.admits(hit):
+            why = "not let in"
+        if why:
+            return self.give_up(hit, why)
         if self.asks(hit, now):
             return
         free, hit.asked, hit.free = [i for i in hit.free if self.fits(hit, i, now)], [], []
@@ -167,8 +173,9 @@
         for hit in sorted(self.held.values(), key=lambda h: (h.again, -h.group.worth(), -h.arrived)):
             self.place(hit, now)
 
-    def give_up(self, hit, now):
+    def give_up(self, hit, why):
         """The final answer, at once: a bounce where a repeat is harmless, else errored."""
+        self.given_up[why] += 1
         kind, scope = hit.group.kind, hit.group.scope
         harmless = hit.risky is None or kind == "repeatable" or kind == "tagged" and scope == "all"
         self.move(hit, State.BOUNCED if harmless else State.ERRORED)
@@ -201,7 +208,7 @@
         elif closed:
             self.move(hit, State.DELIVERED if ending == "ok" else State.ERRORED)
         elif ending == "moot":
-            self.give_up(hit, now)
+            self.give_up(hit, "moot")
         else:
             self.place(hit, now)
         self.place_held(now)
--- a/cobaltpond/edge/config.py
+++ b/cobaltpond/edge/config.py
@@ -12,6 +12,11 @@
 KEPT_LEAST, KEPT, CLIENTS, INSTANCES = 24, 1 / 12, 0.7, 0.6
 
 
+# A second answer may come some milliseconds after the first (the fleet days' page): so long a connection rests before
+# the next hit goes over it. The protocol's page gives every time limit as much.
+REST = 50_000
+
+
 class BadConfig(Exception):
     """What is wrong with the configuration, in one line."""
 
@@ -22,6 +27,7 @@
     connections: int
     dial_time: int
     idle_time: int
+    rest_time: int
 
 
 @dataclass(frozen=True)
@@ -58,7 +64,8 @@
     @property
     def instances(self) -> Instances:
         # what has idled nine tenths of its time is closed here, before the machine does it with a hit on its way
-        return Instances(self.instance_room, self.runsheet["dial_time_out"], self.runsheet["idle_time"] * 9 // 10)
+        return Instances(self.instance_room, self.runsheet["dial_time_out"], self.runsheet["idle_time"] * 9 // 10,
+                         min(REST, self.runsheet["idle_time"] // 2))
 
 
 def config_of(told: dict) -> Config:
--- a/cobaltpond/edge/door.py
+++ b/cobaltpond/edge/door.py
@@ -258,6 +258,14 @@
                     self.count("relieved")
                     visit.connection.close()
 
+    def part_idle(self, since: int) -> None:
+        """Ends what is open without a hit, and has been so for this long. Guards against clients that go on sending on
+        every connection that stays open: also on one that was taken out of the backlog last, up to our very end."""
+        now = self.loop.now()
+        for visit in list(self.visits):
+            if visit.hit is None and visit.parting is None and now - visit.active >= since:
+                visit.part()
+
     def drain(self, linger: int, longest: int):
         """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open;
         one that still is after `longest` more gets its final answer then: none is lost by the end."""
@@ -266,14 +274,14 @@
         while self.loop.now() < end:
             yield Sleep(10_000)
         self.accepting.cancel()
-        for visit in list(self.visits):
-            if visit.hit is None and visit.parting is None:
-                visit.part()
+        self.part_idle(0)
         end = self.loop.now() + longest
         while self.loop.now() < end and any(v.hit is not None or v.writer is not None for v in self.visits):
             yield Sleep(10_000)
+            self.part_idle(YOUNG)
         for hit in list(self.open_ids.values()):
             self.host.too_late(hit)
+        self.part_idle(0)
         end = self.loop.now() + 100_000
         while self.visits and self.loop.now() < end:
             yield Sleep(10_000)
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -105,7 +105,8 @@
             self.log.info("figures", late_us=late, visits=len(self.door.visits), open=self.host.open_hits,
                           hits=len(self.host.hits), held=self.places.open, tasks=len(self.loop.tasks),
                           timers=len(self.loop.timers.heap), peers=self.host.peers and self.host.peers.counts,
-                          host=self.host.counts, **self.door.counts,
+                          host=self.host.counts, **self.door.counts, given_up=self.host.decisions.given_up,
+                          admitted=round(self.host.decisions.admitted, 2),
                           endings={k: v for k, v in self.forwards.seen.items() if v})
 
 
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -50,10 +50,11 @@
         """A connection, and whether it was kept from an earlier hit. Raises NoConnection.
 
         A kept one is looked at before it is given out: guards against an instance that closed it meanwhile. One
-        that closes between this look and the first byte is found by the write, see `forwards.py`.
+        that closes between this look and the first byte is found by the write, see `forwards.py`. Until it has
+        rested it is not given out: guards against a second answer to the hit before, which comes a little later and
+        would pass for the answer to the next.
         """
-        while place.idle:
-            connection, _ = place.idle.pop()
+        while (connection := self.rested(place)) is not None:
             try:
                 if connection.read_now(1) is None:
                     return connection, True
@@ -82,6 +83,16 @@
             raise NoConnection(why) from None
         return connection, False
 
+    def rested(self, place: Place):
+        """The kept connection that came back last of those that have rested; None where there is none."""
+        last = self.loop.now() - self.limits.rest_time
+        for at in range(len(place.idle) - 1, -1, -1):
+            connection, since = place.idle[at]
+            if since <= last:
+                del place.idle[at]
+                return connection
+        return None
+
     def made(self, place: Place):
         """A new connection, ready for a hit."""
         with Deadline(self.loop, self.limits.dial_time):
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -79,7 +79,8 @@
     def status(self) -> dict:
         heard = self.news.last
         return {"gateway": self.number, "start": f"{self.start:x}", "zone": self.place.zone,
-                "hits": {"open": self.host.open_hits, "taken": self.host.taken, **self.door.counts},
+                "hits": {"open": self.host.open_hits, "taken": self.host.taken, **self.door.counts,
+                         "given up": getattr(self.host.decisions, "given_up", {})},
                 "host": self.host.counts, "endings": {k: v for k, v in self.forwards.seen.items() if v},
                 "list": {"revision": self.follower.held.revision, **self.follower.counts},
                 "desk": {"news": heard and dict(zip(("build", "stage", "phase", "cap"), heard, strict=True)),
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -156,9 +156,11 @@
 
 
 class Instances(Part, kw_only=True):
-    """Limits towards instances."""
+    """Limits towards instances. `rest_time`: how long a connection rests after an answer before the next hit goes over
+    it; for instances that may answer a hit twice."""
     dial_time: Span = 250_000
     idle_time: Span = 15_000_000
+    rest_time: Pause = 0
     connections: Count = 512
     answer_limit: Annotated[int, Meta(ge=1024)] = 1 << 30
     probe_path: Annotated[str, Meta(pattern="^/")] = "/-/probe"
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -18,8 +18,8 @@
 class RunsTwice(Gateway):
     """Sends a mutating hit that came back with an error, or is slow, to another instance."""
 
-    def may_forward(self, hit, now):
-        return len(hit.forwards) < 3 and now + 2 * self.tick < hit.deadline
+    def barred(self, hit, now):
+        return None if len(hit.forwards) < 3 and now + 2 * self.tick < hit.deadline else "broken"
 
     def watch_silent(self, now):
         for hit in [h for h in self.hits.values() if h.state == State.OUT]:
