--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cobaltpond.agent.found import mark_of, running_here
 from cobaltpond.agent.listing import CALL_TIME, Listing
 from cobaltpond.agent.states import STARTING, Place, Slot
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
@@ -44,6 +45,7 @@
                                seeded(kernel.seed()).randrange, builds.rate)
         self.place, self.processes, self.tasks, self.manifests = Place(), {}, {}, {}
         self.port, self.stop_asked, self.broken = 0, False, None
+        self.seen = None                               # the newest state of the release that an order told of
         self.waits = Waits(50_000, 1_000_000, kernel.seed())
 
     def path(self, *names):
@@ -97,8 +99,15 @@
         """The last order and the marks of processes that were begun come from the journal; a process that
         still carries its mark is taken on, whatever its number."""
         order, marks = None, {}
+        lost = self.journal.state is None and not self.journal.records
+        if lost:
+            marks = running_here(self.loop.kernel, self.host.folder)
+            for row in marks.values():
+                self.log.warning("taken on without a journal", build=row["build"], port=row["port"])
+                self.note({"begun": row})
         for record in ([self.journal.state] if self.journal.state else []) + self.journal.records:
             order = record.get("order", order)
+            self.seen = (order or {}).get("seen") or self.seen
             for row in record.get("processes", []):
                 marks[row["mark"]] = row
             if "begun" in record:
@@ -124,7 +133,7 @@
         todo = []
         for build in sorted({*wishes, *self.processes}):
             slot = self.place.slots[build] = Slot(build)
-            slot.wish = wishes.get(build, "gone")
+            slot.wish = "run" if lost else wishes.get(build, "gone")     # what runs stays until an order says otherwise
             if build in self.processes:
                 todo += [(build, action) for action in slot.adopted(self.processes[build].listed == "up")]
                 if slot.state == STARTING:
@@ -147,7 +156,7 @@
             raise
 
     def last_order(self):
-        return {"generation": self.place.generation,
+        return {"generation": self.place.generation, "seen": self.seen,
                 "wishes": {str(b): s.wish for b, s in self.place.slots.items()}}
 
     # --- orders and reports --------------------------------------------------------------------------------------
@@ -170,6 +179,9 @@
 
     def order(self, order):
         wishes = {int(build): wish for build, wish in order["wishes"].items()}
+        seen = order.get("seen")
+        if seen and (not self.seen or seen["mark"] >= self.seen["mark"]):
+            self.seen = seen
         if order["generation"] <= self.place.generation:
             return
         self.note({"order": order})                    # before anything is done for it
@@ -177,7 +189,7 @@
         self.act(self.place.order(order["generation"], wishes))
 
     def said(self):
-        return {"place": self.host.place, "generation": max(0, self.place.generation),
+        return {"place": self.host.place, "generation": max(0, self.place.generation), "seen": self.seen,
                 "done": self.place.carried_out(), "slots": [
                     {"build": b, "state": s.state, "id": self.id_of(b), "why": s.why}
                     for b, s in self.place.slots.items()]}
@@ -276,7 +288,8 @@
             self.port = (self.port + 1) % PORTS
             if self.host.ports + self.port not in taken:
                 break
-        process = Process(build, f"{self.loop.kernel.seed():016x}", self.host.ports + self.port)
+        port = self.host.ports + self.port
+        process = Process(build, mark_of(self.loop.kernel.seed(), self.host.folder, build, port), port)
         self.note({"begun": {"build": build, "mark": process.mark, "port": process.port}})
         told = {"{port}": str(process.port), "{id}": self.name_of(process), "{mark}": process.mark}
         words = [told.get(word, word) for word in manifest.entry]
--- a/cobaltpond/day/run.py
+++ b/cobaltpond/day/run.py
@@ -21,6 +21,7 @@
     def __init__(self, loop, plan, folder, say, extra=None):
         """`extra`: gateway number -> more words for its command line (gateways broken on purpose, in tests)."""
         self.loop, self.plan, self.folder, self.say, self.extra = loop, plan, folder, say, extra or {}
+        self.python = sys.executable                   # what builds of agents are started with
         self.over = False                              # from now on parts are ended, and are not to come back
         self.acts, self.children, self.gateways, self.statuses = [], {}, {}, []
         loop.kernel.make_folder(folder)
@@ -170,7 +171,7 @@
                 "groups": {g["name"]: {} for g in plan["groups"]},
                 "rules": {"factor": plan["rules"]["overload_factor"], "tip_time": plan["rules"]["tip_time"]}}
         self.write("solo.json", solo)
-        self.write("builds.json", {"python": sys.executable, "solo": self.path("solo.json"),
+        self.write("builds.json", {"python": self.python, "solo": self.path("solo.json"),
                                    "keys": self.path("keys.json"),
                                    "broken": {b: f["how"] for b, f in plan["flaws"].items()},
                                    "builds": [plan["build"], *(o["build"] for o in plan["offers"])]})
--- a/cobaltpond/day/script.py
+++ b/cobaltpond/day/script.py
@@ -83,6 +83,11 @@
     wait: p.Span = 300_000
 
 
+class Back(p.Recovery, kw_only=True):
+    """`recovery(...)` of the gateways' sheets; `snapshots`: each has a place for one."""
+    snapshots: bool = False
+
+
 class Registry(p.Part, kw_only=True):
     """The list: how late it tells, and of what is silent."""
     by: Literal["push", "asking"] = "push"
@@ -135,7 +140,8 @@
     "rules": (p.Rules, NEEDED), "allow": (p.Allow, ONE), "reports": (p.Reports, ONE), "prices": (p.Prices, ONE),
     "day": (Day, NEEDED), "fleet": (Fleet, NEEDED), "traffic": (Traffic, MANY), "clients": (Clients, ONE),
     "gateway": (Gateway, MANY), "registry": (Registry, ONE), "offer": (Offer, MANY), "trouble": (Trouble, MANY),
-    "kill": (Kill, MANY), "door": (p.Door, ONE), "members": (Known, ONE)}
+    "kill": (Kill, MANY), "door": (p.Door, ONE), "members": (Known, ONE),
+    "recovery": (Back, ONE)}
 
 
 def read_day(path: str, text: str, seed: int | None = None, more: dict | None = None) -> dict:
@@ -179,6 +185,7 @@
                      for n, t in enumerate(calls["trouble"])],
         "agents": fleet.agents,
         "members": msgspec.to_builtins(one("members")) if calls["members"] else None,
+        "recovery": msgspec.to_builtins(one("recovery")) if calls["recovery"] else None,
         "kills": [{"what": k.what, "gateway": k.gateway, "at": k.at, "back_after": k.back_after}
                   for k in calls["kill"]],
         "goal": {"whole": 0.6, "worst_window": 0.1, "worst_group": 0.2, "worst_customer": 0.1},
@@ -218,10 +225,15 @@
         lines += [call("host", {"place": place["name"], "zone": place["zone"], "cell": place["cell"],
                                 "folder": f"{folder}/{place['name']}", "ports": ports["machines"] + 8 * n})
                   for n, place in enumerate(plan["places"])]
+    back = dict(plan.get("recovery") or {})
+    snapshots = back.pop("snapshots", False)
     for n, g in enumerate(plan["gateways"]):
         lines.append(call("gateway", {"number": n, "zone": g["zone"], "door": f"127.0.0.1:{ports['doors'] + n}",
                                       "peers": f"127.0.0.1:{ports['peers'] + n}",
-                                      "memory": f"{folder}/list-{n}.kept"}))
+                                      "memory": f"{folder}/list-{n}.kept",
+                                      "snapshot": f"{folder}/learned-{n}" if snapshots else None}))
     if plan.get("members"):
         lines.append(call("members", plan["members"]))
+    if back:
+        lines.append(call("recovery", back))
     return "\n".join(lines) + "\n"
--- a/cobaltpond/decisions/choosing.py
+++ b/cobaltpond/decisions/choosing.py
@@ -94,7 +94,9 @@
         since, name = now - self.sheet["exposure_window"], group.ledger
         since = max(since, build.counted_from) if now >= build.counted_from else since
         sent, taken = build.sent.since(name, since), self.taken.since(name, since + 1)
-        return sent + 1 <= self.sheet.get("exposure_free", 0) + cap * taken
+        # nothing is free at first: against hundreds that begin anew, or one that does so every second
+        free = self.sheet.get("exposure_free", 0) if now - self.began >= self.sheet["exposure_window"] else 0
+        return sent + 1 <= free + cap * taken
 
     def fits(self, hit, instance, now):
         shut = now < instance.benched_until or instance.out >= instance.limit
@@ -107,8 +109,11 @@
         lives = kept and kept is self.newest and self.phase in ("trial", "released")
         if kept is not instance.build and not self.spares(hit.key, instance.build):
             return False
-        return (not lives or instance.build.number >= kept.number) and self.exposure_allows(
-            instance.build, group, now)
+        if lives and instance.build.number < kept.number:
+            return False
+        if not self.exposure_allows(instance.build, group, now):
+            return False
+        return not self.sheet.get("paced") or self.host.reaches(instance.id)
 
     def spares(self, key, build):
         """Where keys stay: may this key be bound to a build on trial? As large a part of them as its cap is,
@@ -129,6 +134,19 @@
         lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
         return (instance.out + instance.others + 1) * pace + lean
 
+    def on_recalled(self, now, rows, keys):
+        """What settled gateways, or our own former life, knew of instances: none looks better by it than
+        unknown, and none that we have heard from ourselves is touched."""
+        for id, pace, load, faults, silent in rows:
+            instance = self.fleet.by_id.get(id)
+            if instance and not instance.heard_at:
+                instance.pace, instance.others = max(instance.pace, pace), max(instance.others, load)
+                instance.faults = max(instance.faults, faults)
+                if silent:
+                    self.bench(instance, now)
+        newest = self.newest and self.newest.number
+        self.kept_keys.update({key: self.newest for key, build in keys if build == newest})
+
     def pick(self, hit, now):
         """The rotation: of the instances that fit and are about as free as the freest, the next in turn; only
         those heard of late while dials or probes fail: against squeezed or slow new connections."""
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -34,6 +34,7 @@
         self.taken = Ledgers(runsheet.get("exposure_window", SECOND))
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
+        self.began = now
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
--- a/cobaltpond/desk/hosts.py
+++ b/cobaltpond/desk/hosts.py
@@ -33,6 +33,11 @@
         self.hosts = {place: Host(place, first, done=first) for place in places}
         self.most = most
 
+    def begin(self, epoch: int) -> None:
+        """The epoch is settled: no generation that anybody may have seen is given out again."""
+        for host in self.hosts.values():
+            host.generation = host.done = max(host.generation, epoch << 20)
+
     def changing(self, now: int) -> list:
         return [h.place for h in self.hosts.values()
                 if any(h.wishes.get(b) == "run" and s[0] != "up" for b, s in h.slots.items()) or h.done < h.generation]
@@ -67,7 +72,7 @@
         return {"place": place, "generation": host.generation,
                 "wishes": {str(b): w for b, w in sorted(wishes.items())}}
 
-    def report(self, now: int, told: dict) -> list:
+    def report(self, now: int, told: dict, collecting: bool = False) -> list:
         """What a host says: {place, generation, slots: [{build, state, id, why}]}. Gives (id, place, build, state)
         rows for the stages, one for each of its instances. A place that runs a build that nobody ordered is told
         to have it gone."""
@@ -80,7 +85,8 @@
         host.slots = {int(s["build"]): (s["state"], s["id"], s["why"]) for s in told["slots"]}
         rows = []
         for build, (state, _, _) in host.slots.items():
-            shown = SHOWN.get(state) or ("starting" if state in STARTING and host.wishes.get(build) == "run" else None)
+            wished = host.wishes.get(build) == "run" or collecting     # who has just come back has no wishes yet
+            shown = SHOWN.get(state) or ("starting" if state in STARTING and wished else None)
             if shown:
                 rows.append((f"{host.place}/{build}", host.place, build, shown))
         return rows
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -7,6 +7,7 @@
 
 from cobaltpond.builds.manifest import Ring, Unfit, rings_after
 from cobaltpond.calls import FAILED, Refusal, Stream, call, json_answer, service
+from cobaltpond.desk.comeback import Comeback
 from cobaltpond.desk.hosts import Hosts
 from cobaltpond.desk.stages import NOTHING, Refused, Stages
 from cobaltpond.keep import Journal
@@ -24,7 +25,7 @@
         self.hosts, self.epoch = None, self.wall()
         self.order_streams, self.sent, self.history, self.rings = {}, {}, [], []
         self.stages, self.streams, self.last, self.told_at = None, {}, None, 0
-        self.stop_asked, self.kept, self.journal = False, None, None
+        self.stop_asked, self.kept, self.journal, self.comeback = False, None, None, None
         if sheet.desk.journal:
             self.journal = Journal(loop.kernel, sheet.desk.journal)
             if self.journal.cut:
@@ -36,12 +37,19 @@
             self.stages = Stages(self.sheet.release, [h.place for h in self.sheet.hosts], NOTHING, self.loop.now())
             self.carry_on()
             self.hosts = Hosts([h.place for h in self.sheet.hosts], self.sheet.builds.changes, self.epoch)
+            self.comeback = Comeback(self, self.recalled())
             self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
-            yield from self.hear_hosts()
+            yield from self.comeback.collect(self.running)
+            self.hosts.begin(self.epoch)
+            for place in self.hosts.hosts:
+                self.hosts.adopt(place)
         else:
             yield from self.first_look()
+            self.comeback = Comeback(self, self.recalled())
             self.loop.spawn(service(self.loop, listener, self.handle, "desk", log=self.log), "desk")
+            yield from self.comeback.collect(lambda: ())
             self.loop.spawn(self.watch_platform(), "platform")
+        self.keep()
         self.log.info("desk open", build=self.stages.build, places=len(self.stages.places))
         while not self.stop_asked:
             yield Sleep(TICK)
@@ -50,19 +58,15 @@
     def stop(self, name=""):
         self.stop_asked = True
 
-    def hear_hosts(self):
-        """Orders wait until the hosts have said what they run, or have been silent for as long as a start may
-        take: guards against a desk that has just come back and takes everything for missing."""
-        end = self.loop.now() + self.sheet.release.start_within
-        while self.loop.now() < end and any(h.heard_at is None for h in self.hosts.hosts.values()):
-            yield Sleep(TICK)
-        for place in self.hosts.hosts:
-            self.hosts.adopt(place)
+    def running(self) -> list:
+        """Builds that the hosts say they run."""
+        return [m.build for m in self.stages.machines.values()]
 
     def report(self, body):
         """A host says how it stands."""
         try:
-            rows = self.hosts.report(self.loop.now(), body)
+            rows = self.hosts.report(self.loop.now(), body, self.comeback.collecting)
+            self.comeback.host(body["place"], body.get("seen"))
         except (KeyError, TypeError, ValueError) as trouble:
             raise Refusal(400, f"no report: {trouble!r}") from None
         place, listed = body["place"], {row[0] for row in rows}
@@ -86,11 +90,13 @@
         """To each host its present wishes, when they have changed and when it has come back."""
         stages = self.stages
         keep = {b for b in (stages.stable, stages.build, *stages.offered) if b}
+        seen = self.word()
         for place, streams in self.order_streams.items():
             order = self.hosts.order(place, keep)
             if order["wishes"] != self.sent.get(place, {}).get("wishes") and place in self.sent:
                 self.hosts.hosts[place].generation = max(order["generation"], self.sent[place]["generation"] + 1)
                 order = self.hosts.order(place, keep)
+            order["seen"] = seen
             if again or self.sent.get(place) != order:
                 self.sent[place] = order
                 for stream in [s for s in streams if not s.over]:
@@ -117,22 +123,39 @@
         """The release goes on where the journal left it; without one, what runs counts as released."""
         if self.journal is None:
             return
-        kept = self.journal.records[-1] if self.journal.records else self.journal.state
+        kept = self.recalled()
         if kept is not None:
             self.stages.load(kept, self.loop.now())
             self.epoch = max(self.epoch, kept.get("epoch", 0) + 1)
             self.history = kept.get("history", [])
             self.rings = kept.get("rings", [])
             self.log.info("carried on", build=self.stages.build, stage=self.stages.stage, phase=self.stages.phase)
-        self.keep()
+
+    def recalled(self) -> dict | None:
+        """The journal's last record."""
+        if self.journal is None:
+            return None
+        return self.journal.records[-1] if self.journal.records else self.journal.state
+
+    def word(self) -> dict:
+        """The state that others may act by, with its mark: what they say they have seen."""
+        news = self.comeback.limited(self.stages.news(self.loop.now()))
+        return {"mark": [self.epoch, self.stages.turns], "build": news["build"], "stage": news["stage"],
+                "phase": news["phase"], "cap": news["cap"], "stable": self.stages.stable,
+                "gone": list(self.stages.condemned)}
+
+    def news(self) -> dict:
+        word = self.word()
+        return {**{name: word[name] for name in ("build", "stage", "phase", "cap", "mark", "stable", "gone")},
+                "age_us": self.stages.news(self.loop.now())["age_us"]}
 
     def keep(self):
         """What has changed is on disk before anybody is told of it, or ordered by it. A journal that fails ends
         the desk: guards against telling what a restart would forget."""
-        if self.journal is None:
+        if self.journal is None or self.comeback is None or self.comeback.collecting:
             return
         state = {**self.stages.dump(), "epoch": self.epoch, "history": self.history,
-                 "rings": self.rings}
+                 "rings": self.rings, "told": [self.epoch, self.stages.turns], "known": self.comeback.known}
         mark = {name: value for name, value in state.items() if name not in ("at", "held")}
         if mark != self.kept:
             if self.journal.long:
@@ -169,14 +192,15 @@
 
     def tick(self):
         now, stages = self.loop.now(), self.stages
-        stages.tick(now)
+        if not self.comeback.shut:
+            stages.tick(now)
         self.keep()
-        orders = stages.orders(now)
+        orders = [] if self.comeback.shut else stages.orders(now)
         for order in orders:
             self.log.info("order", order=list(order))
             if not self.hosts:
                 self.loop.spawn(self.carry(order), "order")
-        if self.hosts:
+        if self.hosts and not self.comeback.shut:
             self.hosts.take_orders(now, orders)
             self.send_orders()
         while stages.story:
@@ -184,12 +208,13 @@
             self.log.info("release", build=build, stage=stage, phase=phase, why=why)
             self.history = [*self.history[-99:], {"at": self.loop.kernel.wall() // 1000, "build": build,
                                                   "stage": stage, "phase": phase, "why": why}]
-        state = stages.news(now)
+        state = self.news()
         mark = {k: v for k, v in state.items() if k != "age_us"}
-        if mark != self.last or now - self.told_at >= self.sheet.release.news_period:
+        due = now - self.told_at >= self.sheet.release.news_period
+        if mark != self.last or due:
             self.last, self.told_at = mark, now
             self.tell_all({"news": state})
-            if self.hosts:
+            if due and self.hosts and not self.comeback.shut:
                 self.send_orders(again=True)
 
     def carry(self, order):
@@ -245,20 +270,22 @@
     def follow(self, request):
         given = request.query.get("gateway", "")
         number = self.gateway_of(int(given) if given.isdigit() else given)
+        self.comeback.gateway(number, request.query.get("seen"))
         stream = Stream()
         self.streams.setdefault(number, []).append(stream)
-        self.tell(number, {"news": self.stages.news(self.loop.now())})
+        if not self.comeback.collecting:               # else with the first tick: guards against telling what is old
+            self.tell(number, {"news": self.news()})
         return stream
 
     def vote(self, body):
         number = self.gateway_of(body.get("gateway"))
         if not isinstance(body.get("build"), int) or not isinstance(body.get("stage"), int):
             raise Refusal(400, "a vote needs build and stage as whole numbers")
-        now = self.loop.now()
-        answer = self.stages.vote(now, number, body["build"], body["stage"], body.get("verdict"))
+        if self.comeback.shut:
+            return json_answer(429, {"answer": "full"})
+        answer = self.stages.vote(self.loop.now(), number, body["build"], body["stage"], body.get("verdict"))
         self.keep()                                    # a vote that was answered is one that counts, also after a crash
-        news = self.stages.news(now)
-        told = {"answer": answer, "news": news} if answer == "ok" else {"answer": answer}
+        told = {"answer": answer, "news": self.news()} if answer == "ok" else {"answer": answer}
         return json_answer({"ok": 200, "moot": 409, "full": 429}[answer], told)
 
     def wrong(self, body):
@@ -297,6 +324,9 @@
     def offer(self, body):
         if not isinstance(body.get("build"), int):
             raise Refusal(400, "build: a whole number is needed")
+        yield from self.collected()
+        if self.comeback.waiting:
+            return self.stands(body["build"])
         try:
             self.stages.offer(self.loop.now(), body["build"])
         except Refused as no:
@@ -304,21 +334,39 @@
         self.keep()
         return json_answer(202, self.status())
 
+    def collected(self):
+        """An operator's word waits until the desk knows where it stands."""
+        while self.comeback.collecting:
+            yield Sleep(TICK)
+
+    def stands(self, build):
+        """While the operator is waited for, offering the newest build once more says that it is the released one."""
+        if build != self.stages.build:
+            raise Refusal(409, f"the desk waits ({self.comeback.returning.why}): offer build {self.stages.build} "
+                               "again if it is to stay, or send it back")
+        self.comeback.settle(f"an operator says that build {build} stays")
+        self.stages.set(self.loop.now(), "released", 0, "an operator says that it stays")
+        self.keep()
+        return json_answer(202, self.status())
+
     def back(self, body):
         """An operator sends a build back; the number guards against meaning another one than is out."""
+        yield from self.collected()
         if body.get("build") != self.stages.build:
             raise Refusal(409, f"the newest build is {self.stages.build}, not {body.get('build')}")
         try:
             self.stages.send_back(self.loop.now(), str(body.get("why") or "sent back by an operator")[:200])
         except Refused as no:
             raise Refusal(409, str(no)) from None
+        self.comeback.settle("an operator sent the build back")
         self.keep()
         return json_answer(202, self.status())
 
     def status(self):
         now, stages = self.loop.now(), self.stages
         missing = [f"{what} {' '.join(map(str, rest))}" for what, *rest in stages.ordered]
-        return {"news": stages.news(now), "stable": stages.stable, "offered": stages.offered,
+        return {"news": self.news(), "returning": self.comeback.status(), "condemned": stages.condemned,
+                "stable": stages.stable, "offered": stages.offered,
                 "clock_us": None if stages.clock is None else now - stages.clock,
                 "votes": {v: stages.standing(now, v) for v in ("on", "hold", "back")},
                 "missing": self.hosts.missing(now) if self.hosts else [],
--- a/cobaltpond/desk/stages.py
+++ b/cobaltpond/desk/stages.py
@@ -57,6 +57,8 @@
     tokens: float | None = None
     tokens_at: int = 0
     story: list = field(default_factory=list)
+    turns: int = 0                                     # grows with each change that others may act by
+    condemned: list = field(default_factory=list)      # builds that went back: none of them goes out again
 
     def __post_init__(self):
         self.since = self.now
@@ -66,12 +68,13 @@
     # --- over a restart ------------------------------------------------------------------------------------
 
     KEPT = ("build", "stage", "phase", "stable", "offered", "held")
+    ALSO_KEPT = ("turns", "condemned")                 # since December 2026: a journal from before has none
 
     def dump(self) -> dict:
         """What must outlive the desk. Moments are kept as ages; the platform's instances are asked for anew, and
         orders follow from the difference, so that neither has to be remembered."""
-        return {**{name: getattr(self, name) for name in self.KEPT}, "at": self.now, "since": self.since,
-                "launched": self.launched, "clock": self.clock, "places": list(self.places),
+        return {**{name: getattr(self, name) for name in (*self.KEPT, *self.ALSO_KEPT)}, "at": self.now,
+                "since": self.since, "launched": self.launched, "clock": self.clock, "places": list(self.places),
                 "votes": {str(n): [v.build, v.stage, v.verdict, v.at] for n, v in self.votes.items()}}
 
     def load(self, kept: dict, now: int) -> None:
@@ -80,6 +83,7 @@
         moved = now - kept["at"] if now < kept["at"] else 0
         for name in self.KEPT:
             setattr(self, name, kept[name])
+        self.turns, self.condemned = kept.get("turns", 0), list(kept.get("condemned", ()))
         self.offered, self.places = list(kept["offered"]), list(kept["places"])
         self.since, self.launched, self.now = kept["since"] + moved, kept["launched"] + moved, now
         self.clock = None if kept["clock"] is None else kept["clock"] + moved
@@ -130,14 +134,32 @@
 
     # --- what happens ----------------------------------------------------------------------------------------
 
-    def move(self, now: int, phase: str, stage: int, why: str) -> None:
-        """The one place where phase and stage change."""
+    def move(self, now: int, phase: str, stage: int, why: str, room: bool = False) -> None:
+        """The one place where phase and stage change. `room`: it goes back for a later one, not for what it did."""
         if phase not in NEXT[self.phase]:
             raise RuntimeError(f"a release cannot go from {self.phase} to {phase}")
+        if phase == GOING_BACK and not room and self.build not in self.condemned:
+            self.condemned = [*self.condemned[-15:], self.build]
+        self.set(now, phase, stage, why)
+
+    def set(self, now: int, phase: str, stage: int, why: str) -> None:
         self.phase, self.stage, self.since = phase, stage, now
         self.launched, self.clock, self.held = now, None, 0
+        self.turns += 1
         self.story.append((now, self.build, stage, phase, why))
 
+    def resume(self, now: int, plan, why: str) -> None:
+        """Not by the table: what others have seen (`recovery.lost.Plan`) takes the place of an older state. Raises
+        Refused where there would be nothing to return to."""
+        mine = [b for b in (plan.stable, self.build, self.stable) if b not in (None, NOTHING) and b < plan.build]
+        stable = next((b for b in mine if b not in plan.condemned), None)
+        if stable is None and plan.phase in (TRIAL, GOING_BACK, WITHDRAWN):
+            raise Refused(f"of build {plan.build}, {plan.phase}, nobody knows which one to return to")
+        self.build, self.stable, self.votes, self.ordered = plan.build, stable, {}, {}
+        self.condemned = sorted({*self.condemned, *plan.condemned})[-16:]
+        self.offered = [b for b in self.offered if b > plan.build and b not in self.condemned]
+        self.set(now, plan.phase, min(plan.stage, len(self.release.caps) - 1), why)
+
     def offer(self, now: int, build: int) -> None:
         """Raises Refused. One on trial is taken off first; the new one then follows by itself."""
         newest = max([self.build, *self.offered])
@@ -148,7 +170,7 @@
             return self.move(now, RELEASED, 0, "the first build")
         self.offered.append(build)
         if self.phase == TRIAL:
-            self.move(now, GOING_BACK, self.stage, f"build {build} is due")
+            self.move(now, GOING_BACK, self.stage, f"build {build} is due", room=True)
         self.tick(now)
 
     def send_back(self, now: int, why: str) -> None:
--- a/cobaltpond/gateway/endings.py
+++ b/cobaltpond/gateway/endings.py
@@ -14,6 +14,8 @@
     "dial too slow": ("unreachable", "no connection in time: no byte of the hit has left"),
     "no handle": ("unreachable", "this process may open no more sockets: no byte of the hit has left"),
     "no connection free": ("unreachable", "the limit of connections to that instance: no byte has left"),
+    "not our turn": ("unreachable", "its kept connections had ended, and of the new ones that an instance bears from "
+                                    "all gateways none was ours now: no byte has left"),
     "turned away": ("full", "the instance answered the dial with a refusal: no byte of the hit has left"),
     "no welcome": ("unreachable", "the dial was answered with no sense or an error: no byte of the hit has left"),
     "changed meanwhile": ("unreachable", "while the dial lasted, the list or the desk took back what the decision "
--- a/cobaltpond/gateway/follow.py
+++ b/cobaltpond/gateway/follow.py
@@ -12,10 +12,12 @@
 from cobaltpond.calls import FAILED, Waits, call, follow
 from cobaltpond.decisions.told import Told
 from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.recovery.listed import Doubt
 from cobaltpond.sheet.parts import split_address
 from cobaltpond.wire.lines import BadLine, Lines
 
 STATES = ("up", "draining", "gone")
+ANSWERS_FOR = 30_000_000                               # so long ago an answer speaks for an instance
 
 
 class Gap(Exception):
@@ -91,6 +93,7 @@
         self.address, self.memory = split_address(sheet.listing.address), place.memory
         self.held, self.heard, self.dirty = Held(), False, False
         self.said = lambda: None                       # called whenever the list has been applied
+        self.doubt, self.recalled = Doubt(self.answers), {}    # rows of the kept list, until one has been heard
         self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
         self.counts = {"applied": 0, "gaps": 0, "errors": 0}
 
@@ -103,6 +106,9 @@
             except BadLine as trouble:
                 self.log.warning("kept list unreadable", why=str(trouble))
                 return
+            self.recalled = {"epoch": told["epoch"], "rows": {row["id"]: {**row, "at": self.loop.now()}
+                                                              for row in told["rows"] if row["state"] != "gone"}}
+            self.doubt.seen(told["rows"])
             self.host.places.update(True, rows)
             self.host.post_first("on_list", True, [row for row, _ in rows])
             self.log.info("list recalled", revision=told["revision"], rows=len(rows))
@@ -110,8 +116,11 @@
     def take(self, told: dict) -> None:
         if told.get("beat"):
             return
+        told = self.sober(told)
         whole, rows = self.held.apply(self.loop.now(), told)
-        self.heard, self.dirty = True, True
+        self.doubt.seen(told["rows"])
+        self.doubt.change(() if whole else told["rows"])
+        self.heard, self.dirty, self.recalled = True, True, {}
         self.said()
         if rows or whole:
             self.counts["applied"] += 1
@@ -120,6 +129,44 @@
             self.log.info("list", revision=self.held.revision, whole=whole,
                           rows=[f"{r['id']} {r['state']} build {r['build']}" for r, _ in rows][:20])
 
+    def sober(self, told: dict) -> dict:
+        """A whole list of another epoch than the one held, or kept, is looked at before it is obeyed. What is no list
+        at all is left to `Held.apply`."""
+        epoch = self.held.epoch if self.held.epoch is not None else self.recalled.get("epoch")
+        rows = self.held.rows if self.held.epoch is not None else self.recalled.get("rows", {})
+        if epoch is None or told.get("base", 0) is not None or told.get("epoch") == epoch:
+            return told
+        now = self.loop.now()
+        held = {id: {k: v for k, v in {**row, "age_us": row["age_us"] + now - row["at"]}.items() if k != "at"}
+                for id, row in rows.items()}
+        try:
+            obeyed = self.doubt.whole(now, held, told["rows"])
+        except (KeyError, TypeError, ValueError):
+            return told
+        if len(obeyed) != len(told["rows"]) or obeyed != told["rows"]:
+            self.log.warning("list doubted", epoch=told.get("epoch"), rows=len(told["rows"]), **self.doubt.counts)
+        return {**told, "rows": obeyed}
+
+    def answers(self, id: str, now: int) -> bool:
+        """For all that this gateway knows, does the instance still answer? One not asked yet is not held for gone."""
+        fleet = getattr(self.host.decisions, "fleet", None)
+        instance = fleet.by_id.get(id) if fleet is not None else None
+        if instance is None:
+            return not self.heard
+        if now < instance.benched_until or instance.faults > 0.5:
+            return False
+        return not instance.heard_at or now - instance.heard_at < ANSWERS_FOR
+
+    def doubts(self):
+        """Ends the doubt about instances that a new epoch of the list has lost: for ever."""
+        while True:
+            yield Sleep(1_000_000)
+            rows = self.doubt.due(self.loop.now())
+            if rows:
+                self.log.warning("gone after all", rows=[row["id"] for row in rows][:20])
+                self.take({"epoch": self.held.epoch, "revision": self.held.revision, "base": self.held.revision,
+                           "rows": rows})
+
     def query(self, whole: bool, stream: bool) -> str:
         asked = {"gateway": self.host.number}
         if stream:
--- a/cobaltpond/gateway/host.py
+++ b/cobaltpond/gateway/host.py
@@ -22,6 +22,7 @@
         self.hits, self.first, self.inbox, self.open_hits = {}, [], [], 0
         self.taken, self.probes_out, self.decisions = 0, 0, None
         self.list, self.news, self.peers = None, None, None      # set by whoever puts the gateway together
+        self.may = lambda what, verdict="": True       # may this phase of the gateway vote so, or tell a sample?
         self.counts = {"forwards": 0, "overdue": 0, "probes": 0, "votes": 0, "told": 0, "peer sends lost": 0}
         loop.after_turn.append(self.turn)
 
@@ -105,6 +106,7 @@
             self.loop.call_in(0, lambda: tell("unreachable" if place is None else "moot", 0, held.final, {}))
             return
         self.counts["forwards"] += 1
+        self.places.promise(place)
         held.forwards.append(self.loop.spawn(
             self.forwards.carry(held, number, place, time_out, tell), f"forward-{held.name}-{number}"))
 
@@ -133,9 +135,18 @@
         if place is None:
             self.loop.call_in(0, lambda: self.post("on_probed", instance, "unreachable", 0, {}))
             return
+        self.places.promise(place)
         self.loop.spawn(self.forwards.probe(place, lambda *told: self.post("on_probed", instance, *told)), "probe")
 
+    def reaches(self, instance):
+        """May a forward go there now: is a kept connection idle, or a new one our turn?"""
+        place = self.places.by_id.get(instance)
+        return place is None or self.places.reaches(place)
+
     def vote(self, build, stage, verdict):
+        if not self.may("vote", verdict):              # not counted: it may be cast again later
+            self.loop.call_in(0, lambda: self.post_first("on_news", build, stage, "trial", 0.0, 0, True, "full"))
+            return
         self.counts["votes"] += 1
         self.log.info("vote", build=build, stage=stage, verdict=verdict)
         self.loop.spawn(self.news.vote(build, stage, verdict), "vote")
@@ -147,6 +158,8 @@
         self.loop.spawn(self.list.ask(whole=False), "list-watch")
 
     def tell(self, peer, data):
+        if not self.may("tell"):
+            return
         self.counts["told"] += 1
         if self.peers is None or not self.peers.tell(peer, data):
             self.counts["peer sends lost"] += 1
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -14,6 +14,7 @@
     def __init__(self, row: dict, address: tuple[str, int]):
         self.row, self.address = row, address
         self.idle, self.open = deque(), 0              # (connection, since); all that are open
+        self.promised = self.dials = 0                 # forwards on their way to a kept connection, or to a dial
 
 
 class Places:
@@ -21,7 +22,34 @@
         """`limits`: the sheet's `instances`. `greet(connection)`: what a protocol needs before the first hit, within
         the dial's time; raises NoConnection. `most()`: connections to all instances together, now."""
         self.loop, self.limits, self.by_id, self.greet, self.most = loop, limits, {}, greet, most
-        self.open = 0
+        self.open, self.turns = 0, None                # `recovery.pace.Turns`, where new connections are paced
+
+    def reaches(self, place: Place) -> bool:
+        """Is a kept connection left for one more forward, or a new one allowed now?"""
+        return self.turns is None or self.spare(place) > place.promised or self.turns.due(
+            place.row["id"], self.loop.now())
+
+    def spare(self, place: Place) -> int:
+        """Kept connections that have rested."""
+        last = self.loop.now() - self.limits.rest_time
+        return sum(since <= last for _, since in place.idle)
+
+    def promise(self, place: Place) -> None:
+        """A forward will ask for a connection in this turn of the loop: what it will use is not promised twice."""
+        if self.turns is None:
+            return
+        if self.spare(place) > place.promised:
+            place.promised += 1
+        elif self.turns.take(place.row["id"], self.loop.now()):
+            place.dials += 1
+
+    def allowed(self, place: Place) -> bool:
+        """May this forward make a new connection? One that was promised a kept one, which has ended meanwhile, needs a
+        turn of its own: guards against hundreds that all dial again when a zone resets what they had."""
+        if place.dials:
+            place.dials -= 1
+            return True
+        return self.turns is None or self.turns.take(place.row["id"], self.loop.now())
 
     def update(self, whole: bool, rows: list[tuple[dict, tuple[str, int]]]) -> None:
         """`rows`: what the decisions get, and the address. Connections to what restarted or left are closed."""
@@ -54,6 +82,7 @@
         rested it is not given out: guards against a second answer to the hit before, which comes a little later and
         would pass for the answer to the next.
         """
+        place.promised = max(0, place.promised - 1)
         while (connection := self.rested(place)) is not None:
             try:
                 if connection.read_now(1) is None:
@@ -64,6 +93,8 @@
         if place.open >= self.limits.connections or (
                 self.most is not None and self.open >= self.most() and not self.relief()):
             raise NoConnection("no connection free")
+        if not self.allowed(place):
+            raise NoConnection("not our turn")
         place.open += 1
         self.open += 1
         try:
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -11,6 +11,9 @@
 from cobaltpond.members.service import Members
 from cobaltpond.members.view import Settings
 from cobaltpond.members.wire import READY
+from cobaltpond.members.wire import SETTLED as SETTLED_FLAG
+from cobaltpond.recovery.phases import SETTLED
+from cobaltpond.recovery.service import Recovery
 from cobaltpond.sheet.parts import split_address
 
 REPLACED = 3                                           # exit code of one whose name a newer start has taken
@@ -37,6 +40,7 @@
         if sheet.members:
             self.know_each_other(sheet)
         self.door = Door(loop, sheet, self.host, log, self.status, self.members)
+        self.recovery = Recovery(self, Chance(loop.kernel.seed())) if sheet.recovery else None
         self.decisions, self.lag, self.stop_asked = decisions, Lag(), False
         loop.lag = self.lag.enter
 
@@ -73,8 +77,10 @@
     def about(self) -> dict:
         """What this gateway says of itself to the others."""
         ready = hasattr(self.door, "listener") and not self.door.draining
+        settled = self.recovery is not None and self.recovery.life.phase == SETTLED and ready
         return {"revision": self.follower.held.revision, "out": self.host.open_hits,
-                "admitted": getattr(self.host.decisions, "admitted", 1.0), "flags": READY if ready else 0}
+                "admitted": getattr(self.host.decisions, "admitted", 1.0),
+                "flags": (READY if ready else 0) | (SETTLED_FLAG if settled else 0)}
 
     def status(self) -> dict:
         heard = self.news.last
@@ -83,10 +89,11 @@
                          "given up": getattr(self.host.decisions, "given_up", {})},
                 "host": self.host.counts, "endings": {k: v for k, v in self.forwards.seen.items() if v},
                 "list": {"revision": self.follower.held.revision, **self.follower.counts},
-                "desk": {"news": heard and dict(zip(("build", "stage", "phase", "cap"), heard, strict=True)),
-                         **self.news.counts},
+                "desk": {**self.news.counts, "seen": self.news.seen and self.news.seen["mark"],
+                         "news": heard and dict(zip(("build", "stage", "phase", "cap"), heard, strict=True))},
                 "peers": self.host.peers.counts if self.host.peers else None,
                 "members": self.members.status() if self.members else None,
+                "recovery": self.recovery.status() if self.recovery else None,
                 "connections": len(self.door.visits), "tasks": len(self.loop.tasks),
                 "lag_us": self.lag.summary(), "instances": self.places.counts()}
 
@@ -98,9 +105,13 @@
         else:
             self.host.begin(self.decisions)
         self.follower.recall()
-        names = [(self.news.follow(), "news"), (self.follower.keep(), "list-keep"), (self.places.sweep(), "sweep")]
+        spaced = self.recovery.spaced if self.recovery else lambda generator: generator
+        names = [(spaced(self.news.follow()), "news"), (self.follower.keep(), "list-keep"),
+                 (self.places.sweep(), "sweep"), (self.follower.doubts(), "list-doubts")]
         if push:
-            names.append((self.follower.push(), "list"))
+            names.append((spaced(self.follower.push()), "list"))
+        if self.recovery:
+            names.append((self.recovery.run(), "recovery"))
         if self.host.peers:
             names.append((self.host.peers.listen(), "peers"))
         if self.members:
--- a/cobaltpond/gateway/news.py
+++ b/cobaltpond/gateway/news.py
@@ -1,11 +1,13 @@
 """The release desk as the gateway hears it: news, tallies, wrong answers; and the votes it sends there."""
 import json
+from urllib.parse import urlencode
 
 from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
 from cobaltpond.loop import Deadline, TimedOut
 from cobaltpond.wire.address import split_address
 
 PHASES = ("trial", "going back", "released", "withdrawn")
+SHUT, GONE_MOST = ("going back", "withdrawn"), 16
 ANSWERS = {200: "ok", 409: "moot", 429: "full"}
 
 
@@ -15,6 +17,7 @@
         self.address, self.heard, self.last = split_address(sheet.desk.address), False, None
         self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
         self.said = lambda *state: None                # called with each word of the desk
+        self.seen = None                               # the newest state acted by, as the desk is told of it again
         self.counts = {"news": 0, "tallies": 0, "wrong": 0, "errors": 0}
 
     def state(self, told: dict) -> tuple:
@@ -24,10 +27,33 @@
         return (int(told["build"]), int(told["stage"]), told["phase"], min(1.0, max(0.0, float(told["cap"]))),
                 max(0, int(told["age_us"])))
 
+    def note(self, told: dict, state: tuple) -> None:
+        """Remembers the newest state by its mark: a desk that has lost its own asks for it. Raises as `state`."""
+        if "mark" not in told:
+            return
+        epoch, turn = told["mark"]
+        mark, build, gone = [int(epoch), int(turn)], state[0], list(self.seen["gone"]) if self.seen else []
+        if self.seen and mark < self.seen["mark"]:
+            return
+        gone += [int(b) for b in told.get("gone", ()) if b not in gone]
+        if state[2] in SHUT and build not in gone:
+            gone.append(build)
+        stable = told.get("stable")
+        self.seen = {"mark": mark, "build": build, "stage": state[1], "phase": state[2], "cap": state[3],
+                     "stable": None if stable is None else int(stable), "gone": gone[-GONE_MOST:]}
+
+    def target(self) -> str:
+        """What the desk is asked for: its news; it is told what was seen last."""
+        asked = {"gateway": self.host.number}
+        if self.seen is not None:
+            asked["seen"] = json.dumps(self.seen, separators=(",", ":"))
+        return "/v1/news?" + urlencode(asked)
+
     def take(self, told: dict) -> None:
         try:
             if "news" in told:
                 state = self.state(told["news"])
+                self.note(told["news"], state)
                 self.heard = True
                 self.counts["news"] += 1
                 if state[:4] != self.last:
@@ -58,8 +84,8 @@
             self.counts["errors"] += 1
             self.log.warning("desk stream broken", why=f"{type(trouble).__name__}: {trouble}")
 
-        yield from follow(self.loop, self.address, lambda: f"/v1/news?gateway={self.host.number}", take,
-                          3 * self.sheet.release.news_period, self.sheet.instances.dial_time, self.waits, broken)
+        yield from follow(self.loop, self.address, self.target, take, 3 * self.sheet.release.news_period,
+                          self.sheet.instances.dial_time, self.waits, broken)
 
     def vote(self, build, stage, verdict):
         """One vote and exactly one answer: ok, moot, full, error (it did not count), timeout (it may count)."""
@@ -71,7 +97,9 @@
                                                self.sheet.instances.dial_time)
             answer = ANSWERS.get(status, "error")
             if status == 200:
-                state = self.state(json.loads(text)["news"])
+                news = json.loads(text)["news"]
+                state = self.state(news)
+                self.note(news, state)
         except NOT_SENT:
             answer = "error"
         except (*FAILED, TimedOut):
--- a/cobaltpond/loop/children.py
+++ b/cobaltpond/loop/children.py
@@ -42,6 +42,25 @@
                 pass
 
 
+def marked() -> list[tuple[int, str]]:
+    """(pid, mark) of every living leader that was started with one, by number."""
+    found = []
+    for name in os.listdir("/proc"):
+        if not name.isdigit():
+            continue
+        try:
+            with open(f"/proc/{name}/environ", "rb") as file:
+                words = file.read().split(b"\0")
+            leads = os.getpgid(int(name)) == int(name)
+        except (OSError, ProcessLookupError):
+            continue
+        begin = f"{MARK}=".encode()
+        mark = next((word[len(begin):].decode("latin-1") for word in words if word.startswith(begin)), "")
+        if mark and leads:
+            found.append((int(name), mark))
+    return sorted(found)
+
+
 def carries(pid: int, mark: str) -> bool:
     """Is this the leader that was started with the mark? A process that has ended has no environment left."""
     try:
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -15,7 +15,7 @@
 import time
 from typing import Protocol
 
-from cobaltpond.loop.children import MARK, Adopted, Child, carries
+from cobaltpond.loop.children import MARK, Adopted, Child, carries, marked
 from cobaltpond.loop.sockets import Datagrams, Handle, Listener, Stream
 from cobaltpond.loop.trouble import Refused, Unreachable, translated
 
@@ -36,6 +36,7 @@
     def datagrams(self, address: tuple[str, int]): ...
     def spawn(self, argv: list[str], output: str, mark: str = ""): ...
     def adopt(self, mark: str): ...
+    def marked(self) -> list[tuple[int, str]]: ...
     def command_lines(self) -> list[tuple[int, list[str]]]: ...
     def kill(self, pid: int) -> None: ...
     def on_signals(self, call) -> None: ...
@@ -178,6 +179,10 @@
                 return Adopted(int(name), mark)
         return None
 
+    def marked(self) -> list[tuple[int, str]]:
+        """(pid, mark) of every living process that was started with a mark and leads its group."""
+        return marked()
+
     def command_lines(self) -> list[tuple[int, list[str]]]:
         """(pid, words) of every other process that shows them."""
         found = []
--- a/cobaltpond/loop/ports.py
+++ b/cobaltpond/loop/ports.py
@@ -1,17 +1,19 @@
 """Runs of free ports for stand-ins and tests, below those that the system gives out to dials by itself."""
 from cobaltpond.loop.trouble import Unreachable
 
-FIRST, LAST, BLOCK = 10_000, 32_000, 400
+RANGES = ((10_000, 26_000, 400), (26_000, 32_000, 3_000))    # first, last, ports of a run: small ones, and large
 
 
 def free_run(kernel, count: int):
     """(a listener that holds the run for whoever else asks this way, its first port). Keep the first, and close
     it at the end: guards against two that find the same run free at the same moment. Raises Unreachable."""
-    first, blocks = kernel.seed(), (LAST - FIRST) // BLOCK
-    if count >= BLOCK:
+    fits = [one for one in RANGES if count < one[2]]
+    if not fits:
         raise Unreachable(f"{count} ports are more than a run has")
+    begin, end, block = fits[0]
+    first, blocks = kernel.seed(), (end - begin) // block
     for n in range(blocks):
-        base, held = FIRST + (first + n) % blocks * BLOCK, []
+        base, held = begin + (first + n) % blocks * block, []
         try:
             lock = kernel.listen(("127.0.0.1", base), 1)
         except Unreachable:
--- a/cobaltpond/members/view.py
+++ b/cobaltpond/members/view.py
@@ -60,6 +60,7 @@
         self.news, self.drains = None, ()              # to ride along: hearsay.py
         self.hearsay = None                            # called with (member, news or None, drains) of each datagram
         self.trial = None                              # called with (kind, sender, sequence, rows): questions on trials
+        self.warm = None                               # the same, on instances
         self.probe, self.next_probe = None, now + chance.below(settings.period) + 1
         self.round, self.reach_round = [], []          # whom to probe, whom to reach for, in a drawn order
         self.telling = {}                              # number -> times told
@@ -253,6 +254,7 @@
         facts, rows = wire.facts_of(fields), wire.rows_of(fields)
         about, digest = wire.number_of(fields, wire.ABOUT, ">H"), wire.number_of(fields, wire.DIGEST, ">I")
         news, drains, trial = wire.news_of(fields), wire.drains_of(fields), wire.trial_of(fields)
+        warm = wire.warm_of(fields)
         self.counts["heard"] += 1
         self.feel(member.missed)
         member.missed = 0
@@ -283,6 +285,8 @@
             self.relays[relayed] = sender, sequence, about, now + int(NACK_SHARE * wait), now + self.settings.period
         elif kind in (wire.TRIAL_ASK, wire.TRIAL_TOLD) and self.trial is not None:
             self.trial(kind, sender, sequence, trial)
+        elif kind in (wire.WARM_ASK, wire.WARM_TOLD) and self.warm is not None:
+            self.warm(kind, sender, sequence, warm)
         elif kind == wire.NACK and self.probe is not None and sequence == self.probe.sequence and (
                 sender in self.probe.helpers):
             self.probe.nacks[sender] = True
--- a/cobaltpond/members/wire.py
+++ b/cobaltpond/members/wire.py
@@ -14,22 +14,24 @@
 from cobaltpond.members.states import CODES, NAMES, UNHEARD
 
 MAJOR, MINOR = 1, 0
-PING, ACK, ASK, NACK, LEAVE, TRIAL_ASK, TRIAL_TOLD = 1, 2, 3, 4, 5, 6, 7
+PING, ACK, ASK, NACK, LEAVE, TRIAL_ASK, TRIAL_TOLD, WARM_ASK, WARM_TOLD = 1, 2, 3, 4, 5, 6, 7, 8, 9
 MOST = 250                                             # of a datagram's 256 bytes, what is left for us
 HEAD = ">BBIHII"
 BEGIN = calcsize(HEAD)
-SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST, TRIAL = 1, 2, 3, 4, 5, 6, 7
+SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST, TRIAL, WARM = 1, 2, 3, 4, 5, 6, 7, 8
 # start (microseconds of the calendar), incarnation, state, zone, version, settings, list's revision, build, stage,
 # phase, hits out, share let in (of 255), flags
 FACTS = ">QIBIHIIIBBHBB"
 FACT_NAMES = ("start", "incarnation", "state", "zone", "version", "settings", "revision", "build", "stage", "phase",
               "out", "admitted", "flags")
-READY, DRAINING, ALONE = 1, 2, 4
+READY, DRAINING, ALONE, SETTLED = 1, 2, 4, 8             # settled: others may ask it what it knows
 ROW = ">HQIBH"                                         # number, start, incarnation, state, who says so
 ROW_SIZE = calcsize(ROW)
 NEWS_FORM = ">IBBHI"                                   # build, stage, phase, cap of 65535, age in milliseconds
 DRAINS_MOST = 6
 TRIAL_FORM, TRIAL_MOST = ">IBIIH", 10                 # build, place of the path group, hits, errored, age in 10 ms
+# mark of an instance's start, pace in twentieths, load, faults of 255, flags, age in tenths of a second
+WARM_FORM, WARM_MOST, PACE_PART = ">IBBBBB", 15, 20
 
 
 class Odd(Exception):
@@ -152,5 +154,22 @@
     return [(*told[:4], told[4] * 10_000) for told in rows]
 
 
+def warm_field(rows) -> bytes:
+    """`rows`: (mark, pace, load, faults, flags, age in microseconds), at most `WARM_MOST`."""
+    return field(WARM, b"".join(pack(
+        WARM_FORM, mark, min(255, int(pace * PACE_PART)), min(255, int(load)), min(255, int(faults * 255)), flags & 255,
+        min(255, age // 100_000)) for mark, pace, load, faults, flags, age in rows[:WARM_MOST]))
+
+
+def warm_of(fields: dict) -> list[tuple]:
+    """Raises Odd."""
+    value, size = fields.get(WARM, b""), calcsize(WARM_FORM)
+    if len(value) % size or len(value) > size * WARM_MOST:
+        raise Odd("field")
+    rows = [unpack(WARM_FORM, value[at:at + size]) for at in range(0, len(value), size)]
+    return [(mark, pace / PACE_PART, load, faults / 255, flags, age * 100_000)
+            for mark, pace, load, faults, flags, age in rows]
+
+
 def drains_field(tags) -> bytes:
     return field(DRAINS, pack(f">{len(tags)}I", *tags))
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -183,13 +183,14 @@
 
 class GatewayPlace(Part, kw_only=True):
     """`door` for clients, `peers` for datagrams of other gateways (`bind`: where it takes them itself, if they come
-    another way than straight), `memory`: the file of the kept list."""
+    another way than straight), `memory`: the file of the kept list, `snapshot`: that of what it has learned."""
     number: Many
     zone: Name
     door: Address
     peers: Address | None = None
     bind: Address | None = None
     memory: str | None = None
+    snapshot: str | None = None
 
     def wrong(self, sheet):
         if self.number != len(sheet["gateway"]):
@@ -221,6 +222,27 @@
             return "more than 65535 gateways"
 
 
+class Recovery(Part, kw_only=True):
+    """Coming back (docs/recovery.md). `dials`: new connections a second that one instance bears from all gateways
+    together, 0 for no bound; `calls`: first calls a second that the list bears, and the desk, 0 for no bound; `warm`:
+    ask settled gateways; `asks`: answers a second that one of them gives; `hear`, `warming`, `settle`: the longest in
+    each phase; `snapshot_every`: between two snapshots, where a gateway has a place for one."""
+    dials: Price = 0.0
+    calls: Price = 0.0
+    warm: bool = True
+    asks: Count = 20
+    hear: Span = 3_000_000
+    warming: Span = 500_000
+    settle: Span = 15_000_000
+    snapshot_every: Span = 2_000_000
+
+    def wrong(self, sheet):
+        if 0 < self.dials < 0.1:
+            return "dials below 0.1 a second: ten seconds between two connections of the whole fleet"
+        if 0 < self.calls < 0.1:
+            return "calls below 0.1 a second: ten seconds between two gateways that begin"
+
+
 class Builds(Part, kw_only=True):
     """Where agents get builds, and what they may cost. `keys`: the file of the first key ring; `rate`: bytes a
     second, 0 for no bound; `most`: bytes of the store."""
@@ -268,6 +290,7 @@
     builds: Builds | None = None
     hosts: tuple[Host, ...] = ()
     members: Membership | None = None
+    recovery: Recovery | None = None
     tick: int = 1000
     over_share_benefit: float = 0.1
 
@@ -311,4 +334,5 @@
             "ask_within": self.listing.ask_within, "list_by": self.listing.by,
             "crossing_price": self.prices.crossing, "probe_price": self.prices.probe,
             "tell_price": self.prices.tell, "waste_price": self.prices.waste,
+            "paced": bool(self.recovery and self.recovery.dials),
         }
--- a/cobaltpond/sheet/read.py
+++ b/cobaltpond/sheet/read.py
@@ -84,7 +84,7 @@
         "allow": (p.Allow, ONE), "reports": (p.Reports, ONE), "prices": (p.Prices, ONE),
         "door": (p.Door, ONE), "instances": (p.Instances, ONE), "listing": (p.Listing, NEEDED),
         "desk": (p.DeskAddress, NEEDED), "builds": (p.Builds, ONE), "host": (p.Host, MANY),
-        "members": (p.Membership, ONE)}).run(path, text)
+        "members": (p.Membership, ONE), "recovery": (p.Recovery, ONE)}).run(path, text)
     if calls["host"] and not calls["builds"]:
         raise BadSheet(f"{path}: host(...) needs a call of builds(...): where builds come from")
     for name in ("path_group", "route", "gateway"):
@@ -100,4 +100,5 @@
         allow=one("allow", p.Allow), reports=one("reports", p.Reports), prices=one("prices", p.Prices),
         door=one("door", p.Door), instances=one("instances", p.Instances), listing=calls["listing"][0],
         desk=calls["desk"][0], builds=calls["builds"][0] if calls["builds"] else None, hosts=tuple(calls["host"]),
-        members=calls["members"][0] if calls["members"] else None)
+        members=calls["members"][0] if calls["members"] else None,
+        recovery=calls["recovery"][0] if calls["recovery"] else None)
--- a/cobaltpond/sim/kernel.py
+++ b/cobaltpond/sim/kernel.py
@@ -5,8 +5,9 @@
 import sys
 
 from cobaltpond.loop.trouble import HandlesUsedUp, Refused, Unreachable
+from cobaltpond.sim.datagrams import Datagrams
 from cobaltpond.sim.disk import File, Folder
-from cobaltpond.sim.net import Datagrams, Listener, Stream
+from cobaltpond.sim.net import Listener, Stream
 from cobaltpond.sim.world import Process
 
 WALL = 1_750_000_000_000_000                           # what the calendar shows when a world begins, microseconds
@@ -134,6 +135,9 @@
                 return Adopted(process)
         return None
 
+    def marked(self) -> list:
+        return sorted((p.pid, p.mark) for p in self.world.alive() if p.mark)
+
     def command_lines(self) -> list:
         return [(p.pid, p.argv) for p in self.world.alive() if p is not self.process]
 
--- a/cobaltpond/sim/net.py
+++ b/cobaltpond/sim/net.py
@@ -11,7 +11,6 @@
 from cobaltpond.sim.links import Link, part_of
 
 BUFFER = 128 << 10                                     # bytes of one flow that may be on their way or unread
-DATAGRAMS = 256                                        # of a socket, unread
 SYN_AGAIN = (1_000_000, 3_000_000, 7_000_000, 15_000_000)     # after the first: RFC 6298, 2 and 5
 NO_ANSWER = 31_000_000                                 # then a dial ends with Unreachable
 
@@ -25,6 +24,7 @@
         self.refusing, self.silent = {}, {}            # names of processes -> faults that strike their dials
         self.streams, self.last_owner = 0, {}
         self.sniff = None                              # called with each piece as it is sent and as it is read
+        self.tap = None                                # called with (how, from, to, data) of each piece that comes
 
     def link(self, one: str, other: str) -> Link:
         key = (one, other) if one < other else (other, one)
@@ -195,6 +195,8 @@
     def takes(self, kind: str, data: bytes) -> None:
         """A piece that has come: data, the end, or a reset."""
         self.kernel.world.note(kind, self.there, self.kernel.process.name, len(data))
+        if self.network.tap is not None:
+            self.network.tap(kind, self.there, self.kernel.process.name, data, self)
         if kind == "reset":
             self.lost, self.ended, self.trouble = True, True, PeerLost("Connection reset by peer")
             if self.state == "dialling":
@@ -350,50 +352,3 @@
             stream.lost = True
             stream.flow.reset()
             stream.closed = True
-
-
-class Datagrams(Handle):
-    def __init__(self, kernel, address):
-        super().__init__(kernel)
-        self.local, self.inbox = address, deque()
-        kernel.network.bound[address] = self
-
-    def readable(self) -> bool:
-        return bool(self.inbox)
-
-    def writable(self) -> bool:
-        return True
-
-    def recv(self, size: int):
-        if not self.inbox or self.closed:
-            return None
-        data, address = self.inbox.popleft()
-        return data[:size], address
-
-    def send(self, data: bytes, address) -> bool:
-        if self.closed:
-            return False
-        network, address = self.kernel.network, tuple(address)
-        target = network.bound.get(address)
-        if target is None:
-            return True
-        link = network.link(self.kernel.process.name, target.kernel.process.name)
-        if link.blocked(target.kernel.process.name) or network.chance.random() < link.lose:
-            return True
-        for _ in range(2 if network.chance.random() < link.repeat else 1):
-            delay = network.delay(link)
-            if network.chance.random() < link.shuffle:
-                delay += network.chance.randrange(1_000, 20_000)
-            network.world.after(delay, lambda: self.come(network, address, bytes(data)))
-        return True
-
-    def come(self, network, address, data) -> None:
-        target = network.bound.get(address)
-        if target is not None and len(target.inbox) < DATAGRAMS:
-            network.world.note("datagram", target.kernel.process.name, len(data))
-            target.inbox.append((data, self.local))
-            target.edge()
-
-    def released(self) -> None:
-        if self.kernel.network.bound.get(self.local) is self:
-            del self.kernel.network.bound[self.local]
--- a/cobaltpond/sim/run.py
+++ b/cobaltpond/sim/run.py
@@ -56,6 +56,7 @@
 
     def make(self, loop):
         self.day = DayRun(loop, self.plan, FOLDER, self.said.append)
+        self.day.python = "python3"                    # the same bytes wherever this is played
         self.faults = Faults(self.machine, self.day, self.plan, self.meet)
         self.truth = Truth(self.world, self.faults.heard)
         self.machine.network.sniff = self.truth.sniff
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -50,7 +50,9 @@
 class Rig:
     """`count` gateways, number n in zone `zones[n % len(zones)]`."""
 
-    def __init__(self, folder, count, zones=("north",), seed=1):
+    def __init__(self, folder, count, zones=("north",), seed=1, more=""):
+        """`more`: further calls of every gateway's sheet."""
+        self.more = more
         self.loop, self.folder, self.count, self.deaths = Loop(EpollKernel(), self.died), str(folder), count, []
         self.zones = [zones[n % len(zones)] for n in range(count)]
         pairs = [(a, b) for a in range(count) for b in range(count) if a != b]
@@ -74,6 +76,8 @@
         self.news = {n: {"build": 1, "stage": 0, "phase": "released", "cap": 1.0} for n in range(count)}
         self.since, self.deaf_desk, self.rows, self.revision = self.loop.kernel.now(), {}, [], 1
         self.served = {}                               # name of an instance -> hits
+        self.epoch, self.asked, self.votes, self.seen = "e", [], [], {}
+        self.dials, self.slow = {}, {}                 # name of an instance -> when it was connected to; how late it is
         for pair in pairs:
             self.loop.spawn(self.carry(pair), f"link-{pair}")
         for n in range(count):
@@ -119,7 +123,10 @@
         listener = self.loop.kernel.listen(("127.0.0.1", 0), 256)
         self.served[name] = 0
 
+        self.dials[name], self.slow[name] = [], delay
+
         def answers(connection):
+            self.dials[name].append(self.loop.kernel.now())
             get = requests(connection)
             while True:
                 head, _ = yield from get()
@@ -127,8 +134,8 @@
                     return
                 if head.target != b"/-/probe":
                     self.served[name] += 1
-                if delay:
-                    yield Sleep(delay)
+                if self.slow[name]:
+                    yield Sleep(self.slow[name])
                 yield from connection.write(http1.response(200, [], name.encode()))
         self.loop.spawn(serve(self.loop, listener, answers, 256, name), name)
         host, port = listener.address()
@@ -136,7 +143,8 @@
                           "state": "up", "start": 1, "age_us": 60 * SECOND})
 
     def on_list(self, n, request):
-        whole = {"epoch": "e", "revision": self.revision, "base": None, "rows": self.rows}
+        whole = {"epoch": self.epoch, "revision": self.revision, "base": None, "rows": self.rows}
+        self.asked.append((self.loop.kernel.now(), "list", n))
         if "watch" not in request.query:
             return json_answer(200, whole)
         stream = self.streams[n]["list"] = Stream()
@@ -148,12 +156,15 @@
         self.rows = [r if r["id"] != row["id"] else row for r in self.rows]
         self.revision += 1
         for n in to:
-            self.streams[n]["list"].put({"epoch": "e", "revision": self.revision, "base": self.revision - 1,
+            self.streams[n]["list"].put({"epoch": self.epoch, "revision": self.revision, "base": self.revision - 1,
                                          "rows": [row]})
 
     def on_desk(self, n, request):
         if request.path == "/v1/votes":
+            self.votes.append((n, request.json()))
             return json_answer(200, {"news": self.told(n)})
+        self.asked.append((self.loop.kernel.now(), "desk", n))
+        self.seen[n] = json.loads(request.query.get("seen") or "null")
         stream = self.streams[n]["desk"] = Stream()
         stream.put({"news": self.told(n)})
         return stream
@@ -184,11 +195,16 @@
         for m in range(self.count):
             peers = self.binds[n] if m == n else self.ports[n, m]
             lines.append(f'gateway(number = {m}, zone = "{self.zones[m]}", door = "127.0.0.1:{self.doors[m]}", '
-                         f'peers = "127.0.0.1:{peers}")')
+                         f'peers = "127.0.0.1:{peers}", snapshot = "{self.snapshot(m)}", '
+                         f'memory = "{self.folder}/list-{m}")')
+        lines.append(self.more)
         lines.append(f"members(period = ms({PERIOD // MS}), wait = ms({PERIOD // MS * 3 // 10}))")
         self.loop.kernel.replace_file(path, "\n".join(lines).encode(), sync=False)
         return path
 
+    def snapshot(self, n):
+        return os.path.join(self.folder, f"learned-{n}")
+
     def start(self, *numbers):
         for n in numbers:
             self.children[n] = self.loop.kernel.spawn(
@@ -210,6 +226,20 @@
         except (*FAILED, TimedOut):
             return None, b""
 
+    def status(self, n):
+        """Nothing where it does not answer."""
+        status, body = yield from self.get(n, "/-/status")
+        return json.loads(body) if status == 200 else {}
+
+    def until_phase(self, phase, numbers, bound=20 * SECOND):
+        def there():
+            for n in numbers:
+                status = yield from self.status(n)
+                if status.get("recovery", {}).get("phase") != phase:
+                    return False
+            return True
+        yield from self.until(there, bound)
+
     def table(self, n):
         status, body = yield from self.get(n, "/-/members")
         return json.loads(body) if status == 200 else None
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -334,11 +334,12 @@
 def test_rooms_import_only_from_rooms_below():
     """The order of docs/architecture.md."""
     order = ["decisions", "benchlink", "loop", "wire", "sheet", "keep", "calls", "builds", "audit", "members",
-             "gateway", "edge", "desk", "agent", "standins", "day", "sim", "cli"]
+             "recovery", "gateway", "edge", "desk", "agent", "standins", "day", "sim", "cli"]
     alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
-             "audit": {"audit"}, "members": {"members", "loop"}, "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
+             "audit": {"audit"}, "members": {"members", "loop"},
+             "recovery": {"recovery", "members", "keep", "loop"}, "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
              "builds": {"builds", "loop", "wire"},
-             "desk": {"desk", "builds", "keep", "loop", "wire", "sheet", "calls"},
+             "desk": {"desk", "builds", "keep", "loop", "wire", "sheet", "calls", "recovery"},
              "agent": {"agent", "builds", "keep", "loop", "wire", "sheet", "calls"},
              "standins": {"standins", "builds", "loop", "wire", "calls"}}
     root, bad = pathlib.Path(__file__).parent.parent / "cobaltpond", []
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,369 @@
+"""Coming back, free of I/O: phases, turns, warm start, snapshots, lists that begin anew, the measure of it all."""
+import json
+import os
+
+import pytest
+from helpers import MS, NEW, OLD, Bench, row
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cobaltpond.decisions.records import Chance
+from cobaltpond.recovery import snapshot
+from cobaltpond.recovery.listed import PATIENCE, Doubt
+from cobaltpond.recovery.measure import greatest, time_to_full_service
+from cobaltpond.recovery.pace import Answers, Fresh, Spread, Turns
+from cobaltpond.recovery.phases import (
+    ADMIT,
+    ALL_HEARD,
+    BLANK,
+    HEARD,
+    HEARING,
+    IN_STEP,
+    MAY,
+    NEXT,
+    ORDER,
+    SERVING,
+    SETTLED,
+    STOOD_STILL,
+    TIME,
+    VOTE_ON,
+    WARMED,
+    WARMING,
+    Life,
+    Step,
+)
+from cobaltpond.recovery.warm import ROWS_MOST, SILENT, WarmStart, mark_of, remarkable
+
+EXAMPLES = int(os.environ.get("COBALTPOND_EXAMPLES", "60"))
+S = 1_000_000
+LONGEST = {BLANK: 3 * S, HEARING: 3 * S, WARMING: S // 2, SERVING: 10 * S}
+
+
+# --- phases ------------------------------------------------------------------------------------------------------
+
+@settings(max_examples=EXAMPLES, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 2 * S), st.sampled_from(
+    [HEARD, ALL_HEARD, WARMED, IN_STEP, STOOD_STILL, "tick"])), max_size=30))
+def test_whatever_happens_the_table_holds_and_nobody_stays_past_the_longest(events):
+    life, now, seen = Life(0, LONGEST), 0, []
+    life.moved = lambda before, cause: seen.append((before, cause, life.phase))
+    for wait, what in events:
+        now += wait
+        life.tick(now)
+        assert life.phase not in LONGEST or now - life.since < LONGEST[life.phase]
+        if what != "tick":
+            life.on(now, what)
+    assert all(NEXT[before][cause] == after for before, cause, after in seen)
+    life.tick(now + sum(LONGEST.values()))
+    assert life.phase == SETTLED
+
+
+def test_rights_only_grow_on_the_way_and_only_blank_keeps_the_door_shut():
+    kept = [set(MAY[phase]) - {"ask"} for phase in ORDER]
+    assert all(one <= other for one, other in zip(kept, kept[1:], strict=False))
+    assert [phase for phase in ORDER if ADMIT not in MAY[phase]] == [BLANK]
+    assert [phase for phase in ORDER if VOTE_ON in MAY[phase]] == [SETTLED]
+    assert all(TIME in NEXT[phase] for phase in ORDER if phase != SETTLED)
+
+
+def test_who_stood_still_knows_only_what_was_so_and_begins_anew():
+    life = Life(0, LONGEST)
+    for cause in (HEARD, ALL_HEARD, WARMED, IN_STEP):
+        assert life.on(1, cause)
+    assert life.phase == SETTLED and life.on(2, STOOD_STILL) and life.phase == WARMING and not life.may(VOTE_ON)
+    assert not life.on(3, HEARD) and life.status(5)["since_us"] == 3
+
+
+def test_in_step_is_a_share_of_a_whole_second_or_hardly_any_traffic():
+    step = Step()
+    for n in range(11):
+        step.enter(n * 100 * MS, 10 * n, 9 * n)
+    assert not step.fine()
+    step = Step()
+    for n in range(11):
+        step.enter(n * 100 * MS, 10 * n, 10 * n)
+        assert step.fine() == (n == 10)
+    quiet = Step()
+    quiet.enter(0, 0, 0)
+    quiet.enter(S, 7, 0)
+    assert quiet.fine()
+
+
+# --- the fleet's budgets -------------------------------------------------------------------------------------------
+
+@pytest.mark.parametrize("count", [1, 3, 30, 200])
+def test_dials_of_all_gateways_to_one_target_stay_within_what_it_bears(count):
+    """All begin at once, want a connection at every moment and take every turn; then the target resets all of them."""
+    rate, chance = 40.0, Chance(7)
+    fleet = [Turns(rate, lambda: count, Chance(chance.below(1 << 30))) for _ in range(count)]
+    times, first = [], {}
+    for now in range(0, 20 * S, 5 * MS):
+        for n, turns in enumerate(fleet):
+            if turns.take("i0", now):
+                times.append(now)
+                first.setdefault(n, now)
+    # of 200 drawn offsets some lie close together: the mean is the rate, a second may have a root or three more
+    assert len(times) / 20 <= rate * 1.02 and greatest(times) <= rate + 3 * rate ** 0.5
+    assert len(first) == count and max(first.values()) <= count * S / rate + 5 * MS
+
+
+def test_a_turn_that_is_not_taken_at_once_is_lost():
+    turns = Turns(10.0, lambda: 100, Chance(3))                    # one every 10 s, for half a second
+    due = [now for now in range(0, 30 * S, 10 * MS) if turns.due("i0", now)]
+    assert 3 * 45 <= len(due) <= 3 * 51
+    begin = due[0]
+    assert turns.take("i0", begin) and not turns.take("i0", begin + 10 * MS)
+    assert not any(turns.due("i0", now) for now in range(begin, begin + 9 * S, 10 * MS))
+    later = [now for now in range(begin + 9 * S, begin + 11 * S, 10 * MS) if turns.due("i0", now)]
+    assert later and turns.take("i0", later[-1])
+    turns.keep({"i1": 1})
+    assert turns.offsets == turns.used == {}
+
+
+def test_who_has_just_begun_is_reckoned_from_those_heard():
+    fresh = Fresh(200)
+    assert fresh.count(100 * S) == 200 and fresh.there() == 200    # nobody heard: everybody may have begun
+    fresh.heard({n: 0 for n in range(199)})
+    assert fresh.count(100 * S) == 1 and fresh.there() == 199
+    fresh.heard({n: 0 if n < 60 else 98 * S for n in range(199)})
+    assert 130 <= fresh.count(100 * S) <= 150
+    fresh.heard({1: 0, 2: 0})                                      # the smaller side of a split asks for no more
+    assert fresh.there() == 100
+    spread = Spread(100.0, Chance(1))
+    assert max(spread.wait(200) for _ in range(500)) <= 2 * S and spread.wait(1) <= 10 * MS
+
+
+def test_a_donor_answers_no_more_than_it_bears():
+    answers = Answers(20)
+    allowed = [answers.allows(5 * S + n, n % 50) for n in range(200)]
+    assert sum(allowed) == 20 and answers.allows(6 * S, 3)
+    one = Answers(20)
+    assert [one.allows(0, 1) for _ in range(6)] == [True] * 4 + [False] * 2
+
+
+# --- warm start ----------------------------------------------------------------------------------------------------
+
+def test_only_what_speaks_against_an_instance_is_told_the_worst_first():
+    rows = [(n, 1.0, 2, 0.0, 0, 0) for n in range(100)] + [
+        (200, 1.0, 9, 0.0, SILENT, 0), (201, 4.0, 9, 0.0, 0, 0), (202, 1.0, 0, 0.9, 0, 0)]
+    assert [row_[0] for row_ in remarkable(rows)] == [200, 202, 201]
+    assert len(remarkable([(n, 9.0, 1, 0, 0, 0) for n in range(500)])) == ROWS_MOST
+
+
+def asked(rows_by_donor, window=12 * S, now=0):
+    warm = WarmStart(window, Chance(1), now)
+    to = warm.due(now, sorted(rows_by_donor))
+    for number in to:
+        warm.answered(number, rows_by_donor[number])
+    return warm, to
+
+
+def test_two_donors_are_asked_and_the_worse_word_holds_weighed_by_age():
+    a, b = mark_of("a", 1, 5), mark_of("b", 1, 5)
+    warm, to = asked({1: [(a, 3.0, 10, 0.0, SILENT, 0), (b, 2.0, 4, 0.5, SILENT, 6 * S)],
+                      2: [(a, 2.0, 20, 0.1, 0, 0)]})
+    assert sorted(to) == [1, 2] and warm.over(0) and warm.due(1, [1, 2, 3]) == []
+    assert warm.believed({a: "a", b: "b"}) == sorted([
+        ("a", 3.0, 20.0, 0.1, False),                  # silent to one of two: a link of that donor's
+        ("b", 1.5, 2.0, 0.25, False)], key=lambda r: {"a": a, "b": b}[r[0]])
+
+
+@settings(max_examples=EXAMPLES, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 9), st.floats(0, 12), st.integers(0, 255), st.floats(0, 1),
+                          st.integers(0, 1), st.integers(0, 30 * S)), max_size=40))
+def test_no_word_makes_an_instance_look_better_than_unknown(rows):
+    warm, _ = asked({1: rows, 2: rows[::2]})
+    for _, pace, load, faults, silent in warm.believed({n: f"i{n}" for n in range(10)}):
+        assert pace >= 1 and load >= 0 and 0 <= faults <= 1
+        assert not silent or any(flags and age < 6 * S for _, _, _, _, flags, age in rows)
+
+
+def test_a_word_about_a_former_start_is_dropped_and_too_old_ones_and_strangers_too():
+    old, new = mark_of("a", 1, 5), mark_of("a", 1, 6)
+    warm, _ = asked({1: [(old, 5.0, 10, 1.0, SILENT, 0), (new, 5.0, 10, 1.0, SILENT, 12 * S)]})
+    warm.answered(7, [(new, 5.0, 1, 1.0, 1, 0)])
+    assert warm.believed({new: "a"}) == [] and warm.counts["stale"] == 2
+
+
+def test_where_no_donor_is_nobody_waits_for_one_and_a_dead_one_is_replaced():
+    warm = WarmStart(S, Chance(1), 0)
+    assert warm.due(0, []) == [] and not warm.over(S - 1) and warm.over(S)
+    warm = WarmStart(S, Chance(1), 0)
+    first = warm.due(0, [1, 2, 3, 4])
+    left = [n for n in (1, 2, 3, 4) if n not in first]
+    again = warm.due(100 * MS, left)
+    assert len(first) == 2 and sorted(again) == left
+
+
+def test_the_module_takes_a_word_only_of_what_it_has_not_met_itself():
+    bench = Bench(OLD)
+    bench.hit()
+    bench.host.now += 50 * MS
+    met = bench.host.open[0][3]
+    bench.end(bench.host.open[0])
+    others = [r["id"] for r in OLD if r["id"] != met]
+    bench.gateway.on_recalled(bench.host.now, [(met, 9.0, 50, 0.9, True), (others[0], 9.0, 0, 0.0, False),
+                                               (others[1], 1.0, 0, 0.0, True), ("gone", 2.0, 1, 1, True)], [])
+    by_id = bench.gateway.fleet.by_id
+    assert by_id[met].pace < 2 and by_id[met].benched_until == 0
+    assert by_id[others[0]].pace == 9.0 and by_id[others[1]].benched_until > bench.host.now
+    for _ in range(8):
+        bench.hit()
+    used = [f[3] for f in bench.host.open]
+    assert others[0] not in used and others[1] not in used and len(used) == 8
+
+
+def test_keys_that_stay_come_back_only_for_the_build_that_is_newest_now():
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 0.5), keys_stay=True)
+    bench.gateway.on_recalled(0, [], [(7, 2), (8, 1), (9, 3)])
+    assert {key: build.number for key, build in bench.gateway.kept_keys.items()} == {7: 2}
+
+
+def test_a_gateway_that_begins_again_and_again_carries_a_trial_no_further_than_its_cap():
+    """Each start had two hits free; one that fell over every 300 ms sent a third of them all to a build with a cap of
+    a twentieth."""
+    sent = taken = 0
+    for life in range(20):
+        bench = Bench(OLD + NEW, seed=life, news=(2, 0, "trial", 0.05), stage_caps=[0.05, 1.0])
+        for _ in range(10):
+            bench.host.now += 30 * MS
+            bench.hit()
+            for forward in list(bench.host.open):
+                bench.end(forward)
+        taken += 10
+        sent += sum(a[1].startswith("n") for _, _, a in bench.host.named("forward"))
+    assert sent <= 0.05 * taken + 2 and taken == 200
+
+
+# --- snapshots -----------------------------------------------------------------------------------------------------
+
+HEAD = {"number": 3, "settings": 77, "wall": 100 * S, "epoch": "e", "seen": None}
+ROWS = [[f"i{n}", 1, 5, 1.0 + n / 10, n, n / 100, n == 7, 1000] for n in range(60)]
+KEYS = [[n, 2] for n in range(1200)]
+
+
+def file_of(head=HEAD, rows=ROWS, keys=KEYS):
+    return b"".join(snapshot.lines(head, rows, keys))
+
+
+def taken(data, **more):
+    return snapshot.read(data, **{"number": 3, "settings": 77, "wall": 101 * S, "worth": 10 * S, **more})
+
+
+def test_a_snapshot_is_read_as_it_was_written_and_weighed_by_its_age():
+    told = taken(file_of())
+    assert len(told["rows"]) == 60 and told["keys"][-1] == (1199, 2) and told["weight"] == pytest.approx(0.9)
+    snapshot.fits_list(told["head"], "e")
+    listed = {"i7": (1, 5), "i8": (2, 5), "i9": (1, 6), "i50": (1, 5)}
+    about = pytest.approx
+    assert snapshot.believed(told, listed) == [("i7", about(1.63), about(6.3), about(0.063), True),
+                                               ("i50", about(5.5), about(45), about(0.45), False)]
+
+
+@settings(max_examples=EXAMPLES, deadline=None)
+@given(st.integers(0, 1 << 20), st.integers(0, 255))
+def test_a_snapshot_torn_or_flipped_anywhere_is_refused_whole(at, byte):
+    data = file_of(rows=ROWS[:5], keys=KEYS[:5])
+    at %= len(data)
+    for bad in (data[:at], data[:at] + bytes([byte]) + data[at + 1:]):
+        if bad == data:
+            continue
+        with pytest.raises(snapshot.Unfit, match="torn"):
+            taken(bad)
+
+
+@pytest.mark.parametrize("data, more, why", [
+    (None, {}, "there is none"), (b"x" * (snapshot.MOST_BYTES + 1), {}, "more than one has"),
+    (file_of(), {"number": 4}, "of gateway 3, not 4"), (file_of(), {"settings": 78}, "other settings"),
+    (file_of(), {"wall": 99 * S}, "1000 ms in the future"), (file_of(), {"wall": 110 * S}, "10000 ms old"),
+    (file_of({**HEAD, "wall": "x"}), {}, "makes no sense"), (file_of(rows=[["i1", 1, 5]]), {}, "makes no sense"),
+    (file_of({**HEAD, "format": 9}), {}, None)])
+def test_each_reason_to_refuse_a_snapshot_is_named(data, more, why):
+    if why is None:                                    # the format is the writer's own word, whatever the head says
+        assert taken(data)["head"]["format"] == snapshot.FORMAT
+        data, why = data.replace(b'"format":1', b'"format":2'), "torn"
+    with pytest.raises(snapshot.Unfit, match=why):
+        taken(data, **more)
+
+
+def test_a_later_format_and_another_list_are_refused(monkeypatch):
+    monkeypatch.setattr(snapshot, "FORMAT", 2)
+    data = file_of()
+    monkeypatch.undo()
+    with pytest.raises(snapshot.Unfit, match="of format 2, not 1"):
+        taken(data)
+    with pytest.raises(snapshot.Unfit, match="of list 'e', not 'f'"):
+        snapshot.fits_list(taken(file_of())["head"], "f")
+
+
+# --- lists that begin anew -----------------------------------------------------------------------------------------
+
+def listed(id, state="up", start=1):
+    return {"id": id, "state": state, "start": start, "build": 1}
+
+
+HELD = {f"i{n}": listed(f"i{n}") for n in range(6)}
+
+
+def test_a_list_that_comes_back_empty_does_not_empty_a_fleet_that_answers():
+    doubt = Doubt(lambda id, now: id != "i5")
+    assert sorted(r["id"] for r in doubt.whole(0, HELD, [])) == ["i0", "i1", "i2", "i3", "i4"]
+    doubt.change([listed("i1", "draining")])
+    assert doubt.due(S) == []
+    doubt.answers = lambda id, now: id not in ("i5", "i2")
+    assert [(r["id"], r["state"]) for r in doubt.due(2 * S)] == [("i2", "gone")]
+    assert [r["id"] for r in doubt.due(PATIENCE)] == ["i0", "i3", "i4"] and doubt.due(2 * PATIENCE) == []
+
+
+def test_a_list_that_lost_a_few_is_obeyed():
+    doubt = Doubt(lambda id, now: True)
+    rows = [listed(f"i{n}") for n in range(4)]
+    assert doubt.whole(0, HELD, rows) == rows and doubt.due(PATIENCE) == []
+
+
+@pytest.mark.parametrize("before, told, obeyed", [
+    ("draining", "up", "draining"), ("gone", "up", "gone"), ("gone", "draining", "gone"),
+    ("up", "draining", "draining"), ("draining", "gone", "gone")])
+def test_an_older_list_brings_no_drained_start_back(before, told, obeyed):
+    doubt = Doubt(lambda id, now: True)
+    doubt.seen([listed("i0", before)])
+    rows = [listed("i0", told), *(listed(f"i{n}") for n in range(1, 6))]
+    assert doubt.whole(0, HELD, rows)[0]["state"] == obeyed
+    another = listed("i0", "up", start=2)
+    assert doubt.whole(0, HELD, [another, *rows[1:]])[0] == another
+
+
+# --- the measure ---------------------------------------------------------------------------------------------------
+
+def test_full_service_is_a_second_like_before_with_everybody_settled():
+    hits = [(at, not 10 * S <= at < 12 * S) for at in range(0, 20 * S, 10 * MS)]
+    assert time_to_full_service(hits, 10 * S, 20 * S, 11 * S) == pytest.approx(2.95 * S, abs=0.11 * S)
+    assert time_to_full_service(hits, 10 * S, 20 * S, 16 * S) == 6 * S
+    assert time_to_full_service(hits, 10 * S, 20 * S, None) is None
+    assert time_to_full_service(hits[:1100], 10 * S, 11 * S, 10 * S) is None
+    assert greatest([0, 1, S - 1, S, 3 * S]) == 3
+
+
+def test_the_sheet_says_what_makes_no_sense():
+    from cobaltpond.sheet import BadSheet, read_sheet
+    text = open("examples/resale.star").read()
+    assert read_sheet("x", text).recovery is None and not read_sheet("x", text).runsheet(0)["paced"]
+    sheet = read_sheet("x", text + "recovery(dials = 30.0, calls = 100.0)\n")
+    assert sheet.runsheet(0)["paced"] and sheet.recovery.warm
+    assert json.loads(json.dumps(sheet.runsheet(0)))["paced"]
+    for bad, why in (("dials = 0.01", "dials below 0.1"), ("calls = 0.05", "calls below 0.1"), ("hear = 3", "a time")):
+        with pytest.raises(BadSheet, match=why):
+            read_sheet("x", text + f"recovery({bad})\n")
+
+
+def test_an_instance_that_is_not_our_turn_gets_no_forward():
+    """Dials are paced by the host; the module narrows its choice, and holds or bounces where nothing is left."""
+    bench = Bench([row("a"), row("b")], paced=True)
+    bench.host.reaches = lambda id: id == "b"
+    for _ in range(3):
+        bench.hit()
+    assert [f[3] for f in bench.host.open] == ["b"] * 3
+    bench.host.reaches = lambda id: False
+    bench.hit()
+    bench.run(400 * MS)
+    assert len(bench.host.named("bounce")) == 1
