--- a/cobaltpond/members/rounds.py
+++ b/cobaltpond/members/rounds.py
@@ -15,7 +15,7 @@
     """The one that is under way. `asked`: when helpers were asked, None before."""
 
     def __init__(self, member: Member, sequence: int, began: int, wait: int, period: int):
-        self.member, self.sequence, self.asked = member, sequence, None
+        self.member, self.sequence, self.asked, self.start = member, sequence, None, member.start
         self.ask_at, self.end_at, self.helpers, self.nacks, self.reached = began + wait, began + period, {}, {}, None
 
 
@@ -90,6 +90,8 @@
             self.feel(-1)
             member.reached = probe.reached
             return
+        if member.start != probe.start:                # asked was its former life, which could not answer any more
+            return
         self.counts["probes failed"] += 1
         if not probe.helpers:
             self.feel(1)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -188,6 +188,17 @@
     assert two.counts["heard"] == EACH_PERIOD + 1
 
 
+def test_a_probe_of_a_former_life_says_nothing_of_the_next():
+    """Found by a transcript: killed while asked, and back before the wait was over, it was doubted in its new life."""
+    one, other = pair()[:2]
+    one.told(0, 1, 1001, 0, ALIVE, 1)
+    one.begin_probe(10)
+    assert one.probe.member.number == 1
+    one.told(20, 1, 2001, 0, ALIVE, 1)
+    one.end_probe(one.probe.end_at)
+    assert one.members[1].state == ALIVE and one.counts["probes failed"] == 0
+
+
 # --- hearsay ---------------------------------------------------------------------------------------------------
 
 def hearsay():
