--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -98,13 +98,7 @@
     def recover(self):
         """The last order and the marks of processes that were begun come from the journal; a process that
         still carries its mark is taken on, whatever its number."""
-        order, marks = None, {}
-        lost = self.journal.state is None and not self.journal.records
-        if lost:
-            marks = running_here(self.loop.kernel, self.host.folder)
-            for row in marks.values():
-                self.log.warning("taken on without a journal", build=row["build"], port=row["port"])
-                self.note({"begun": row})
+        order, marks, unknown = None, {}, []
         for record in ([self.journal.state] if self.journal.state else []) + self.journal.records:
             order = record.get("order", order)
             self.seen = (order or {}).get("seen") or self.seen
@@ -115,6 +109,13 @@
             if record.get("listed") in marks:
                 marks[record["listed"]] = {**marks[record["listed"]], "listed": True}
             marks.pop(record.get("ended"), None)
+        for mark, row in running_here(self.loop.kernel, self.host.folder).items():
+            if mark not in marks:                      # the journal was lost, or an older copy of it was put back
+                self.log.warning("taken on without a journal", build=row["build"], port=row["port"])
+                marks = {m: known for m, known in marks.items() if known["build"] != row["build"]
+                         or self.loop.kernel.adopt(m)} | {mark: row}
+                unknown.append(row["build"])
+                self.note({"begun": row})
         self.place.generation = order["generation"] if order else -1
         wishes = {int(b): w for b, w in (order["wishes"] if order else {}).items()}
         for row in marks.values():
@@ -133,7 +134,8 @@
         todo = []
         for build in sorted({*wishes, *self.processes}):
             slot = self.place.slots[build] = Slot(build)
-            slot.wish = "run" if lost else wishes.get(build, "gone")     # what runs stays until an order says otherwise
+            # what the journal knows nothing of stays until an order says otherwise
+            slot.wish = "run" if build in unknown else wishes.get(build, "gone")
             if build in self.processes:
                 todo += [(build, action) for action in slot.adopted(self.processes[build].listed == "up")]
                 if slot.state == STARTING:
--- a/cobaltpond/cli/sim.py
+++ b/cobaltpond/cli/sim.py
@@ -27,7 +27,7 @@
         return file.read()
 
 
-SIZE = click.option("--size", type=click.Choice(["small", "known", "day", "large"]), default="small")
+SIZE = click.option("--size", type=click.Choice(["small", "known", "lost", "day", "large"]), default="small")
 
 
 @sim.command("run")
--- a/cobaltpond/sim/faults.py
+++ b/cobaltpond/sim/faults.py
@@ -3,6 +3,7 @@
 from cobaltpond.sim.net import Stream
 
 LOOK = 250_000                                         # how often parts that a disk fault has ended are started again
+COPY_EVERY = 200_000                                   # between copies of what may be put back
 
 
 class Faults:
@@ -12,6 +13,7 @@
         self.machine, self.world, self.network, self.disk = machine, machine.world, machine.network, machine.disk
         self.day, self.plan, self.met, self.aimed, self.over_at = day, plan, met, [], 0
         self.struck, self.back_at = 0, {}              # part -> when a kill of its own starts it again
+        self.copies = {}                               # folder -> [(when, name -> bytes)]
 
     def begin(self, begin: int) -> None:
         self.begun = begin
@@ -21,6 +23,8 @@
                 self.aimed.append(row)
             else:
                 self.world.at(begin + row["at"], lambda row=row: self.strike(row))
+        for on in {row["on"]: True for row in self.plan["fault"] if row["kind"] == "rolled_back"}:
+            self.copy(self.journal(on))
 
     def heard(self, what, number, at, value) -> None:
         """Something that faults may be aimed at has happened at a gateway."""
@@ -200,6 +204,41 @@
         self.disk.power_cut(self.folder(row["on"]))
         self.stand_by(part, self.world.time + row["length"] + LOOK, self.world.time + row["length"])
 
+    # --- state that is lost, or put back from a copy ------------------------------------------------------------
+
+    def journal(self, on: str) -> str:
+        return self.folder(on) if on == "desk" else f"{self.folder(on)}/journal"
+
+    def copy(self, folder: str) -> None:
+        """Again and again, as a backup is taken: what lies in a journal's folder."""
+        found = self.disk.find(folder)
+        if found is not None:
+            files = {name: bytes(file.data) for name, file in found.entries.items() if name != "lock"}
+            self.copies.setdefault(folder, []).append((self.world.time, files))
+        self.world.after(COPY_EVERY, lambda: self.copy(folder))
+
+    def do_lost(self, row) -> None:
+        self.put_back(row, {})
+
+    def do_rolled_back(self, row) -> None:
+        """To the newest copy that is `size` seconds old, or the oldest there is."""
+        copies = self.copies.get(self.journal(row["on"]), [(0, {})])
+        old = [files for at, files in copies if at <= self.world.time - row["size"] * 1_000_000]
+        self.put_back(row, old[-1] if old else copies[0][1])
+
+    def put_back(self, row, files: dict) -> None:
+        """The part is killed, its journal replaced, and it is started again."""
+        part, folder = self.part(row["on"]), self.journal(row["on"])
+        self.day.act("killed", part=part)
+        for process in self.processes(part):
+            process.signal("KILL")
+        self.disk.remove(folder)
+        self.disk.make_folder(folder)
+        for name, data in files.items():
+            self.disk.write(f"{folder}/{name}", data, True)
+        self.disk.sync_folder(folder)
+        self.stand_by(part, self.world.time + row["length"] + LOOK, self.world.time + row["length"])
+
     def stand_by(self, part, until, since=0) -> None:
         """What a supervisor does: a part that has ended is started again, unless the day itself is ending them."""
         def look():
--- a/cobaltpond/sim/run.py
+++ b/cobaltpond/sim/run.py
@@ -153,6 +153,7 @@
         for act in self.day.acts:
             if act["kind"] == "sent back" and act["build"] == news["build"] and news["phase"] in ("trial", "released"):
                 verdict.found.append(f"take-back forgotten: build {news['build']} is {news['phase']}")
+        self.one_word(verdict)
         stalled = any(row["kind"] in ("stall", "drift") for row in self.plan["fault"])
         if self.machine.counts.get("answer overdue") and not stalled:
             verdict.found.append(f"overdue: {self.machine.counts['answer overdue']} hits were answered by the guard")
@@ -166,6 +167,23 @@
                 verdict.found.append(f"no drain: {row['id']} was up and then gone")
             states[mark] = row["state"]
 
+    def one_word(self, verdict) -> None:
+        """What the desk said to gateways, over all its starts: one state at each mark, and no build that went back is
+        on trial or released at a later one."""
+        states, gone = {}, {}
+        for _, number, news in self.truth.news:
+            if "mark" in news:
+                mark, state = tuple(news["mark"]), (news["build"], news["stage"], news["phase"])
+                if states.setdefault(mark, state) != state:
+                    verdict.found.append(f"one mark, two states: {list(mark)}: {states[mark]} and {state} "
+                                         f"(gateway {number})")
+        for mark, (build, _, phase) in sorted(states.items()):
+            if phase in ("going back", "withdrawn"):
+                gone.setdefault(build, mark)
+            elif build in gone:
+                verdict.found.append(f"condemned build anew: {build} went back at {list(gone[build])}, is {phase} at "
+                                     f"{list(mark)}")
+
     def calm_from(self, yard) -> int:
         """When the last fault and trouble were over, and the last instance that had come up was warm."""
         ends = [self.faults.over_at, *(self.begin + t["at"] + t["len"] for t in self.plan["troubles"]),
--- a/cobaltpond/sim/script.py
+++ b/cobaltpond/sim/script.py
@@ -12,6 +12,7 @@
 PROCESS = ("kill", "restart", "stall", "drift", "handles")
 DISK = ("full", "sync_fails", "power_cut")
 FAULTS = (*NET, *PROCESS, *DISK)
+STATE = ("lost", "rolled_back")                        # of a journal: gone, or a copy `size` seconds old put back
 AIMED = ("cut", "reset", "kill", "restart", "stall")   # what is aimed where it strikes a gateway
 AIMS = ("", "drain", "window", "vote", "stage", "back")
 
@@ -21,7 +22,7 @@
     `offset` microseconds from the first such moment of the gateway `by` (else `on`) after `at`: the end of a drain's
     grace, the end of a tagged hit's repeat window, the end of a vote's wait, the turn in which it hears of another
     stage, or that a build goes back."""
-    kind: Literal[*FAULTS, "one_way"]
+    kind: Literal[*FAULTS, "one_way", *STATE]
     at: p.Span
     length: p.Span = 1_000_000
     on: p.Name
@@ -46,6 +47,7 @@
     "small": (18, 24.0, 2, 6),
     "known": (20, 30.0, 5, 6),                         # gateways that know each other
     "day": (60, 22.0, 3, 12),
+    "lost": (18, 24.0, 3, 6),                          # journals lost and put back, gateways killed with them
     "large": (20, 120.0, 50, 80),
 }
 
@@ -94,12 +96,15 @@
         start_within=3_000_000, drain_time=chance.choice([500_000, 1_200_000]), news_period=1_000_000)
     say("rules", drain_grace=250_000, cold_time=3_000_000, cold_share=0.4, overload_factor=2.0, tip_time=1_000_000)
     say("allow", most_forwards=chance.choice([2, 3]), probe=chance.random() < 0.7,
-        tell=chance.random() < 0.7 or size == "known", cancel=chance.random() < 0.8)
+        tell=chance.random() < 0.7 or size in ("known", "lost"), cancel=chance.random() < 0.8)
     say("reports", how="answers", names=["util", "inflight"] if chance.random() < 0.7 else [])
     for n in range(gateways):
         say("gateway", zone=zones[n % len(zones)], weight=chance.choice([0.7, 1.0, 1.3]))
-    if size == "known":
+    if size in ("known", "lost"):
         say("members", period=300_000, wait=90_000)
+    if size == "lost":
+        say("recovery", dials=chance.choice([0.0, 30.0]), calls=chance.choice([0.0, 20.0]), settle=4_000_000,
+            snapshots=chance.random() < 0.5, snapshot_every=500_000)
     at = chance.randrange(1_000_000, 3_000_000)
     while at < last - 3_000_000:
         flaw = chance.choice(["", "", "errors", "slow", "wrong", "load"])
@@ -108,6 +113,9 @@
         at += chance.randrange(5_000_000, 12_000_000)
     parts = [f"gateway-{n}" for n in range(gateways)]
     hosts = [f"place-{n:02d}" for n in range(instances)]
+    if size == "lost":
+        lose(say, chance, last, agents, parts, hosts)
+        return "\n".join(lines) + "\n"
     busy = 0
     kinds = {kind: 1.0 for kind in FAULTS if agents or kind not in ("full", "sync_fails")}
     kinds = {kind: weight * (lean or {}).get(kind, 1.0) for kind, weight in kinds.items()}
@@ -129,6 +137,32 @@
     return "\n".join(lines) + "\n"
 
 
+def lose(say, chance, last, agents, parts, hosts) -> None:
+    """The desk loses its state once or twice, at a drawn moment or close to one that matters; gateways, and with
+    agents one of those, may go with it, or be cut off from it."""
+    at = chance.randrange(1_500_000, last // 2)
+    for _ in range(chance.choice([1, 1, 2])):
+        row = {"kind": chance.choice(["lost", "rolled_back", "rolled_back"]), "at": at, "on": "desk",
+               "length": chance.choice([100_000, 500_000, 1_500_000]), "size": chance.choice([0.3, 1.0, 3.0, 30.0])}
+        if chance.random() < 0.5:
+            row.update(by=chance.choice(parts), aim=chance.choice(["back", "stage", "vote"]),
+                       offset=chance.choice([0, 300, 5_000, 300_000]))
+        say("fault", **row)
+        killed = chance.choice([0, 0, 1, 2, 3])
+        for part in chance.sample(parts, killed):
+            say("kill", gateway=int(part[8:]), at=at + chance.randrange(300_000), back_after=chance.choice(
+                [100_000, 1_000_000]))
+        if not killed and chance.random() < 0.4:
+            say("fault", kind="cut", at=at, length=chance.choice([1_000_000, 3_000_000]), on=chance.choice(parts),
+                to="yard")
+        if agents and chance.random() < 0.4:
+            say("fault", kind=chance.choice(["lost", "rolled_back"]), at=at + chance.randrange(500_000),
+                on=chance.choice(hosts), length=300_000, size=1.0)
+        at += chance.randrange(3_000_000, 5_000_000)
+        if at > last - 3_000_000:
+            break
+
+
 def trouble(say, chance, at, span, agents, instances) -> None:
     """One of the bench's own troubles."""
     kinds = ["burst", "bad_requests", "give_up"]
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -161,6 +161,12 @@
     assert [v.found for v in verdicts] == [[]] * 6 and sum(v.struck for v in verdicts) > 10
 
 
+def test_a_desk_that_loses_its_state_with_gateways_passes_no_cap_and_starts_no_condemned_build():
+    """Its journal gone, or an older copy put back, at drawn moments of a release; see `Simulated.one_word` too."""
+    verdicts = [run_seed(seed, "lost") for seed in range(10)]
+    assert [v.found for v in verdicts] == [[]] * 10 and sum(v.struck for v in verdicts) >= 10
+
+
 def test_a_scenario_that_fails_is_made_smaller_and_still_fails():
     """With decisions that are broken on purpose."""
     drains = {"decisions": lambda process: broken.ForgetsDrains}
