Limits in the sheet, shared by all gateways on leases

Need: limits declared by the users, with one meaning over all gateways, without a central part that hits wait for.

A hit over a limit is bounced with the limit's name and the time to come back, before the decisions hear of it.

Not in it yet: counts of forwards, dials, probes, reruns; zones; giving way by benefit; two generations of a sheet at once.

--- a/cobaltpond/gateway/answers.py
+++ b/cobaltpond/gateway/answers.py
@@ -31,6 +31,16 @@
     return problem(503, "bounced", "Not taken on now", hit, more, fields, keep)
 
 
+def limited(limit: str, retry_after: int, keep: bool) -> bytes:
+    """A hit that a limit of the sheet bounced, before anything was done for it."""
+    fields, more = [PROMISE], {"retry_harmless": True, "limit": limit}
+    if retry_after:
+        fields.append((b"retry-after", b"%d" % -(-retry_after // 1_000_000)))
+        fields.append((b"cobaltpond-retry-after-ms", b"%d" % -(-retry_after // 1000)))
+        more["retry_after_ms"] = -(-retry_after // 1000)
+    return problem(429, "over-limit", f"Over the limit: {limit}", None, more, fields, keep)
+
+
 def errored(hit: str, late: bool, keep: bool) -> bytes:
     if late:
         return problem(504, "late", "No answer in time; it may have run", hit, {}, [], keep)
--- a/cobaltpond/gateway/door.py
+++ b/cobaltpond/gateway/door.py
@@ -133,7 +133,7 @@
     def __init__(self, loop, sheet, host, log, status, members=None):
         """`members`: this gateway's `members.service.Members`, where it knows the others."""
         self.loop, self.sheet, self.host, self.log, self.status = loop, sheet, host, log, status
-        self.members = members
+        self.members, self.limited = members, None     # `gateway.limited.Limited`, where the sheet has limits
         self.routes, self.visits, self.parting = Routes(sheet), {}, {}
         self.draining, self.counts = False, {}
         self.shares = Shares({c.name: c.share for c in sheet.customers}, 2 * sheet.release.exposure_window)
@@ -240,6 +240,13 @@
             self.count("turned away")
             visit.put(answers.bounced("none", 0, False, False), True)
             return
+        if self.limited is not None:
+            verdict = self.limited.ask(asked.group, asked.customer, asked.key, asked.again)
+            if verdict.by is not None:
+                self.count("limited")
+                visit.hit, keep = None, head.keep_alive and expect is None and not self.draining
+                visit.put(answers.limited(verdict.by, verdict.wait, keep), not keep)
+                return
         if expect is not None:
             visit.put(b"HTTP/1.1 100 Continue\r\n\r\n", False)
         host, number = self.host, self.host.next_number()
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -5,6 +5,7 @@
 from cobaltpond.gateway.forwards import Forwards
 from cobaltpond.gateway.host import Host
 from cobaltpond.gateway.instances import Places
+from cobaltpond.gateway.limited import Limited
 from cobaltpond.gateway.news import News
 from cobaltpond.gateway.peers import Peers
 from cobaltpond.loop import Loop, Sleep, run_part
@@ -40,6 +41,8 @@
         if sheet.members:
             self.know_each_other(sheet)
         self.door = Door(loop, sheet, self.host, log, self.status, self.members)
+        if sheet.limits:
+            self.door.limited = Limited(loop, sheet, number, self.members, log)
         self.recovery = Recovery(self, Chance(loop.kernel.seed())) if sheet.recovery else None
         self.decisions, self.lag, self.stop_asked = decisions, Lag(), False
         loop.lag = self.lag.enter
@@ -94,6 +97,7 @@
                 "peers": self.host.peers.counts if self.host.peers else None,
                 "members": self.members.status() if self.members else None,
                 "recovery": self.recovery.status() if self.recovery else None,
+                "limited": self.door.limited.status() if self.door.limited else None,
                 "connections": len(self.door.visits), "tasks": len(self.loop.tasks),
                 "lag_us": self.lag.summary(), "instances": self.places.counts()}
 
@@ -110,6 +114,8 @@
                  (self.places.sweep(), "sweep"), (self.follower.doubts(), "list-doubts")]
         if push:
             names.append((spaced(self.follower.push()), "list"))
+        if self.door.limited and self.door.limited.leases:
+            names.append((self.door.limited.leases.run(), "leases"))
         if self.recovery:
             names.append((self.recovery.run(), "recovery"))
         if self.host.peers:
--- /dev/null
+++ b/cobaltpond/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits declared in the sheet, one meaning over all gateways."""
--- a/cobaltpond/members/view.py
+++ b/cobaltpond/members/view.py
@@ -60,7 +60,7 @@
         self.news, self.drains = None, ()              # to ride along: hearsay.py
         self.hearsay = None                            # called with (member, news or None, drains) of each datagram
         self.trial = None                              # called with (kind, sender, sequence, rows): questions on trials
-        self.warm = None                               # the same, on instances
+        self.warm = self.leases = None                 # the same, on instances and on leases
         self.probe, self.next_probe = None, now + chance.below(settings.period) + 1
         self.round, self.reach_round = [], []          # whom to probe, whom to reach for, in a drawn order
         self.telling = {}                              # number -> times told
@@ -254,7 +254,7 @@
         facts, rows = wire.facts_of(fields), wire.rows_of(fields)
         about, digest = wire.number_of(fields, wire.ABOUT, ">H"), wire.number_of(fields, wire.DIGEST, ">I")
         news, drains, trial = wire.news_of(fields), wire.drains_of(fields), wire.trial_of(fields)
-        warm = wire.warm_of(fields)
+        warm, leases = wire.warm_of(fields), wire.leases_of(fields)
         self.counts["heard"] += 1
         self.feel(member.missed)
         member.missed = 0
@@ -287,6 +287,8 @@
             self.trial(kind, sender, sequence, trial)
         elif kind in (wire.WARM_ASK, wire.WARM_TOLD) and self.warm is not None:
             self.warm(kind, sender, sequence, warm)
+        elif kind in (wire.LEASE_ASK, wire.LEASE_TOLD) and self.leases is not None:
+            self.leases(kind, sender, sequence, leases)
         elif kind == wire.NACK and self.probe is not None and sequence == self.probe.sequence and (
                 sender in self.probe.helpers):
             self.probe.nacks[sender] = True
--- a/cobaltpond/members/wire.py
+++ b/cobaltpond/members/wire.py
@@ -15,10 +15,11 @@
 
 MAJOR, MINOR = 1, 0
 PING, ACK, ASK, NACK, LEAVE, TRIAL_ASK, TRIAL_TOLD, WARM_ASK, WARM_TOLD = 1, 2, 3, 4, 5, 6, 7, 8, 9
+LEASE_ASK, LEASE_TOLD = 10, 11
 MOST = 250                                             # of a datagram's 256 bytes, what is left for us
 HEAD = ">BBIHII"
 BEGIN = calcsize(HEAD)
-SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST, TRIAL, WARM = 1, 2, 3, 4, 5, 6, 7, 8
+SELF, ROWS, ABOUT, NEWS, DRAINS, DIGEST, TRIAL, WARM, LEASES = 1, 2, 3, 4, 5, 6, 7, 8, 9
 # start (microseconds of the calendar), incarnation, state, zone, version, settings, list's revision, build, stage,
 # phase, hits out, share let in (of 255), flags
 FACTS = ">QIBIHIIIBBHBB"
@@ -32,6 +33,7 @@
 TRIAL_FORM, TRIAL_MOST = ">IBIIH", 10                 # build, place of the path group, hits, errored, age in 10 ms
 # mark of an instance's start, pace in twentieths, load, faults of 255, flags, age in tenths of a second
 WARM_FORM, WARM_MOST, PACE_PART = ">IBBBBB", 15, 20
+LEASES_FORM, LEASES_MOST = ">BQIII", 7                 # limit, value, amount, when it was asked, fence
 
 
 class Odd(Exception):
@@ -171,5 +173,19 @@
             for mark, pace, load, faults, flags, age in rows]
 
 
+def leases_field(rows) -> bytes:
+    """`rows`: (place of the limit, digest of the value, amount, when it was asked in milliseconds, fence)."""
+    return field(LEASES, b"".join(pack(LEASES_FORM, place, digest, min(amount, 0xffffffff), asked, fence)
+                                  for place, digest, amount, asked, fence in rows[:LEASES_MOST]))
+
+
+def leases_of(fields: dict) -> list[tuple]:
+    """Raises Odd."""
+    value, size = fields.get(LEASES, b""), calcsize(LEASES_FORM)
+    if len(value) % size or len(value) > size * LEASES_MOST:
+        raise Odd("field")
+    return [unpack(LEASES_FORM, value[at:at + size]) for at in range(0, len(value), size)]
+
+
 def drains_field(tags) -> bytes:
     return field(DRAINS, pack(f">{len(tags)}I", *tags))
--- a/cobaltpond/sheet/parts.py
+++ b/cobaltpond/sheet/parts.py
@@ -291,6 +291,7 @@
     hosts: tuple[Host, ...] = ()
     members: Membership | None = None
     recovery: Recovery | None = None
+    limits: tuple = ()                                 # of `sheet.limits.Limit`
     tick: int = 1000
     over_share_benefit: float = 0.1
 
@@ -298,7 +299,8 @@
         """Of all that the gateways must have alike; where each of them stands does not count."""
         alike = msgspec.structs.replace(self, gateways=tuple(
             GatewayPlace(number=g.number, zone=g.zone, door="0.0.0.0:0") for g in self.gateways))
-        return crc32(msgspec.json.encode(alike))
+        ordered = msgspec.structs.replace(alike, limits=tuple(sorted(alike.limits, key=lambda limit: limit.name)))
+        return crc32(msgspec.json.encode(ordered))
 
     @property
     def zones(self) -> list[str]:
--- a/cobaltpond/sheet/read.py
+++ b/cobaltpond/sheet/read.py
@@ -19,8 +19,9 @@
 class Reader:
     """Runs one file. `parts`: call name -> (record type, MANY | ONE | NEEDED)."""
 
-    def __init__(self, parts: dict[str, tuple[type, str]]):
-        self.parts, self.calls = parts, {name: [] for name in parts}
+    def __init__(self, parts: dict[str, tuple[type, str]], words: dict | None = None):
+        """`words`: further functions of the file, name -> what gives a plain value."""
+        self.parts, self.words, self.calls = parts, words or {}, {name: [] for name in parts}
 
     def called(self, name: str):
         kind, how = self.parts[name]
@@ -52,6 +53,8 @@
         module = starlark.Module()
         module.add_callable("ms", microseconds(1000))
         module.add_callable("s", microseconds(1_000_000))
+        for name, word in self.words.items():
+            module.add_callable(name, word)
         for name in self.parts:
             module.add_callable(name, self.called(name))
         try:
@@ -78,13 +81,15 @@
 def read_sheet(path: str, text: str):
     """A `Sheet` from the text of a file. Raises BadSheet."""
     from cobaltpond.sheet import parts as p
+    from cobaltpond.sheet.limits import WORDS, Limit
     calls = Reader({
         "path_group": (p.PathGroup, MANY), "route": (p.Route, MANY), "customer": (p.Customer, MANY),
         "gateway": (p.GatewayPlace, MANY), "release": (p.Release, NEEDED), "rules": (p.Rules, NEEDED),
         "allow": (p.Allow, ONE), "reports": (p.Reports, ONE), "prices": (p.Prices, ONE),
         "door": (p.Door, ONE), "instances": (p.Instances, ONE), "listing": (p.Listing, NEEDED),
         "desk": (p.DeskAddress, NEEDED), "builds": (p.Builds, ONE), "host": (p.Host, MANY),
-        "members": (p.Membership, ONE), "recovery": (p.Recovery, ONE)}).run(path, text)
+        "members": (p.Membership, ONE), "recovery": (p.Recovery, ONE),
+        "limit": (Limit, MANY)}, WORDS).run(path, text)
     if calls["host"] and not calls["builds"]:
         raise BadSheet(f"{path}: host(...) needs a call of builds(...): where builds come from")
     for name in ("path_group", "route", "gateway"):
@@ -101,4 +106,4 @@
         door=one("door", p.Door), instances=one("instances", p.Instances), listing=calls["listing"][0],
         desk=calls["desk"][0], builds=calls["builds"][0] if calls["builds"] else None, hosts=tuple(calls["host"]),
         members=calls["members"][0] if calls["members"] else None,
-        recovery=calls["recovery"][0] if calls["recovery"] else None)
+        recovery=calls["recovery"][0] if calls["recovery"] else None, limits=tuple(calls["limit"]))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -334,10 +334,12 @@
 def test_rooms_import_only_from_rooms_below():
     """The order of docs/architecture.md."""
     order = ["decisions", "benchlink", "loop", "wire", "sheet", "keep", "calls", "builds", "audit", "members",
-             "recovery", "gateway", "edge", "desk", "agent", "standins", "day", "sim", "cli"]
+             "recovery", "leases", "limits", "gateway", "edge", "desk", "agent", "standins", "day", "sim", "cli"]
     alone = {"decisions": {"decisions"}, "benchlink": {"benchlink", "decisions"}, "loop": {"loop"}, "wire": {"wire"},
              "audit": {"audit"}, "members": {"members", "loop"},
-             "recovery": {"recovery", "members", "keep", "loop"}, "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
+             "recovery": {"recovery", "members", "keep", "loop"},
+             "leases": {"leases", "decisions", "members", "loop"}, "limits": {"limits"},
+             "keep": {"keep", "loop"}, "sheet": {"sheet", "wire"},
              "builds": {"builds", "loop", "wire"},
              "desk": {"desk", "builds", "keep", "loop", "wire", "sheet", "calls", "recovery"},
              "agent": {"agent", "builds", "keep", "loop", "wire", "sheet", "calls"},
