--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -45,7 +45,7 @@
     """Reads a sheet and says what it holds, or what is wrong with it and where."""
     sheet = sheet_of(file)
     click.echo(f"{file}: {len(sheet.gateways)} gateways in {len(sheet.zones)} zones, {len(sheet.path_groups)} path "
-               f"groups, {len(sheet.routes)} routes, {len(sheet.release.shares)} stages")
+               f"groups, {len(sheet.routes)} routes, {len(sheet.release.shares)} stages, {len(sheet.limits)} limits")
 
 
 @main.command()
