A forward that is called off before it asks for its connection gives its promise back

Cause, found by reading: where dials are paced the host promises a kept connection, or a turn, when the decisions forward; a forward cancelled before its first step never took it, and `instances.reaches` counted it for ever, so that the instance was left to turns alone. Now a promise ends after 100 ms, far beyond the turn in which it is used. A test; without the change it fails.

--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -3,6 +3,8 @@
 
 from cobaltpond.loop import Deadline, HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
 
+PROMISED = 100_000                                     # a forward that has not asked by then will not ask any more
+
 
 class NoConnection(Exception):
     """None was to be had, and nothing was sent; the text is a key of `endings.SEEN`."""
@@ -14,7 +16,7 @@
     def __init__(self, row: dict, address: tuple[str, int]):
         self.row, self.address = row, address
         self.idle, self.open = deque(), 0              # (connection, since); all that are open
-        self.promised = self.dials = 0                 # forwards on their way to a kept connection, or to a dial
+        self.promised = self.dials = self.promised_at = 0      # forwards on their way to a kept connection, to a dial
 
 
 class Places:
@@ -26,9 +28,16 @@
 
     def reaches(self, place: Place) -> bool:
         """Is a kept connection left for one more forward, or a new one allowed now?"""
+        if self.turns is not None:
+            self.settle(place)
         return self.turns is None or self.spare(place) > place.promised or self.turns.due(
             place.row["id"], self.loop.now())
 
+    def settle(self, place: Place) -> None:
+        """Forwards that were called off before they asked for their connection do not keep it from others for ever."""
+        if self.loop.now() - place.promised_at > PROMISED:
+            place.promised = place.dials = 0
+
     def spare(self, place: Place) -> int:
         """Kept connections that have rested."""
         last = self.loop.now() - self.limits.rest_time
@@ -38,6 +47,8 @@
         """A forward will ask for a connection in this turn of the loop: what it will use is not promised twice."""
         if self.turns is None:
             return
+        self.settle(place)
+        place.promised_at = self.loop.now()
         if self.spare(place) > place.promised:
             place.promised += 1
         elif self.turns.take(place.row["id"], self.loop.now()):
@@ -46,6 +57,7 @@
     def allowed(self, place: Place) -> bool:
         """May this forward make a new connection? One that was promised a kept one, which has ended meanwhile, needs a
         turn of its own: guards against hundreds that all dial again when a zone resets what they had."""
+        self.settle(place)
         if place.dials:
             place.dials -= 1
             return True
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -367,3 +367,21 @@
     bench.hit()
     bench.run(400 * MS)
     assert len(bench.host.named("bounce")) == 1
+
+
+def test_a_forward_that_is_called_off_before_it_asks_keeps_its_connection_from_nobody():
+    """Found by reading: its promise stayed, and the instance was reached only by turns from then on."""
+    from types import SimpleNamespace
+
+    from cobaltpond.gateway.instances import PROMISED, Place, Places
+    loop = SimpleNamespace(clock=S)
+    loop.now = lambda: loop.clock
+    places = Places(loop, SimpleNamespace(rest_time=0))
+    places.turns = SimpleNamespace(due=lambda name, now: False, take=lambda name, now: False)
+    place = Place({"id": "i0"}, ("127.0.0.1", 1))
+    place.idle.append((object(), 0))
+    assert places.reaches(place)
+    places.promise(place)
+    assert not places.reaches(place)                   # it is on its way to the one that is kept
+    loop.clock += PROMISED + 1
+    assert places.reaches(place)
