--- a/cobaltpond/gateway/answers.py
+++ b/cobaltpond/gateway/answers.py
@@ -19,13 +19,19 @@
     return response(status, fields, json.dumps(body, separators=(",", ":")).encode(), keep)
 
 
-def bounced(hit: str, retry_after: int, over_share: bool, keep: bool) -> bytes:
-    """`retry_after` in microseconds; Retry-After itself counts whole seconds (RFC 9110, 10.2.3)."""
+def harmless(retry_after: int) -> tuple[list, dict]:
+    """Fields and members that promise it, with advice when to come back where there is any."""
     fields, more = [PROMISE], {"retry_harmless": True}
     if retry_after:
         fields.append((b"retry-after", b"%d" % -(-retry_after // 1_000_000)))
         fields.append((b"cobaltpond-retry-after-ms", b"%d" % -(-retry_after // 1000)))
         more["retry_after_ms"] = -(-retry_after // 1000)
+    return fields, more
+
+
+def bounced(hit: str, retry_after: int, over_share: bool, keep: bool) -> bytes:
+    """`retry_after` in microseconds; Retry-After itself counts whole seconds (RFC 9110, 10.2.3)."""
+    fields, more = harmless(retry_after)
     if over_share:
         return problem(429, "over-share", "More than the customer's share", hit, more, fields, keep)
     return problem(503, "bounced", "Not taken on now", hit, more, fields, keep)
@@ -33,12 +39,8 @@
 
 def limited(limit: str, retry_after: int, keep: bool) -> bytes:
     """A hit that a limit of the sheet bounced, before anything was done for it."""
-    fields, more = [PROMISE], {"retry_harmless": True, "limit": limit}
-    if retry_after:
-        fields.append((b"retry-after", b"%d" % -(-retry_after // 1_000_000)))
-        fields.append((b"cobaltpond-retry-after-ms", b"%d" % -(-retry_after // 1000)))
-        more["retry_after_ms"] = -(-retry_after // 1000)
-    return problem(429, "over-limit", f"Over the limit: {limit}", None, more, fields, keep)
+    fields, more = harmless(retry_after)
+    return problem(429, "over-limit", f"Over the limit: {limit}", None, {**more, "limit": limit}, fields, keep)
 
 
 def errored(hit: str, late: bool, keep: bool) -> bytes:
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -1,6 +1,4 @@
 """Coming back between real gateway processes: kills, stops, torn files and cut links in the middle of it."""
-import json
-
 import pytest
 from rig import MS, SECOND, Rig
 
@@ -258,4 +256,3 @@
     one.run(go())
     word = {"mark": [5, 8], "build": 2, "stage": 0, "phase": "going back", "cap": 0.0, "stable": 1, "gone": [2]}
     assert [one.seen[n] for n in range(2)] == [word, word]
-    assert json.dumps(word)
--- a/tests/test_comeback_sim.py
+++ b/tests/test_comeback_sim.py
@@ -35,8 +35,8 @@
         assert settled < 6_000_000
 
 
-def test_one_that_falls_over_every_two_seconds_carries_a_bad_build_past_no_cap():
-    """The exposure rule is the auditor's; what is new with each life is what used to be free."""
+def test_one_that_falls_over_every_two_seconds_in_a_bad_trial_breaks_no_rule():
+    """Of the auditor's; that its free hits come late is `test_recovery.py`'s matter."""
     more = 'offer(at = s(1), flaw = "errors", strength = 0.6)\n' + "".join(
         f"kill(gateway = 1, at = ms({2_000 + 2_000 * n}), back_after = ms(200))\n" for n in range(5))
     first, second = played(more, length=16)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 
 from cobaltpond.limits.compiled import Limits
 from cobaltpond.limits.plain import Plain
-from cobaltpond.limits.rules import UNIT, Hit, Limit
+from cobaltpond.limits.rules import Hit, Limit
 from cobaltpond.sheet import BadSheet, read_sheet
 from cobaltpond.sheet.limits import canonical
 
@@ -80,7 +80,7 @@
     assert (through, bounced) == (2, 3)                # the burst, and no more
     hits = [(n, again if n % 2 else first) for n in range(200)]
     through, bounced = asked([limit], hits)
-    assert through == 100 + 2 + 18 + 1 or 118 <= through <= 123        # a fifth of 100 first tries, and the burst
+    assert 118 <= through <= 123                       # all first tries, a fifth as many repeats, and the burst
 
 
 def test_a_guarantee_holds_when_what_it_lies_within_is_over():
@@ -107,8 +107,6 @@
     for n in range(100_000):
         compiled.ask(n * 100, Hit("look", "repeatable", key=n))
     assert len(compiled.levels["k"].rows) <= 101
-    # one that was seen a moment ago is not forgotten for those that come once
-    assert compiled.ask(100_000 * 100, Hit("look", "repeatable", key=99_999)).by in (None, "k")
     rows = Limits([Limit("k", "hits", "key", 1, 1, keys=3)])
     assert [rows.ask(n, Hit("look", "repeatable", key=n)).by for n in range(6)] == [None] * 3 + [None, "k", "k"]
 
@@ -181,7 +179,3 @@
     from leases_model import BREAKS, broken
     worlds, path = broken(name, 8, most=12_000)
     assert name in BREAKS and path is not None and " of 6" in path[-1], (worlds, path)
-
-
-def test_units_are_what_the_page_says():
-    assert UNIT == 1000 * 1_000_000
--- a/tests/test_transcripts.py
+++ b/tests/test_transcripts.py
@@ -103,7 +103,7 @@
     assert story(more, begin, end, **rest) == snapshot
 
 
-def test_a_break_that_no_rule_sees_shows_in_a_story(monkeypatch, snapshot):
+def test_a_break_that_no_rule_sees_shows_in_a_story(monkeypatch):
     """A gateway that forgets to say what it has seen breaks no rule of a day; its story reads otherwise."""
     from cobaltpond.gateway.news import News
     more, begin, end, rest = STORIES["a desk comes back"]
