Standard names at the platform's door: ClientConnection, evict, half-close, Backoff, SourceSwitch

Pure moves, no line does other than before: Visit -> ClientConnection, relief -> evict (loop, gateway, edge), part and parting -> half_close and closing at the platform's door, Waits -> Backoff, HandOver -> SourceSwitch (its file too), still -> is_current.

--- a/bench/planted.py
+++ b/bench/planted.py
@@ -26,9 +26,9 @@
         "gateway/main.py", "        self.follower.recall()\n",
         "        self.follower.recall()\n        early = loop.kernel.listen(split_address(self.place.door), 512)\n"),
     "agent goes on without its journal": ("agent/main.py", "if died is not None:", "if False:"),
-    "no relief when handles are used up": [
-        ("loop/streams.py", "yield Sleep(0 if relief() else pause)", "yield Sleep(pause)"),
-        ("gateway/instances.py", "if not self.relief():", "if True:")],
+    "no evict when handles are used up": [
+        ("loop/streams.py", "yield Sleep(0 if evict() else pause)", "yield Sleep(pause)"),
+        ("gateway/instances.py", "if not self.evict():", "if True:")],
     "held build asks for its key again": (
         "agent/main.py", "        self.manifests[build] = held_manifest(signed), signed\n",
         "        self.manifests[build] = read_manifest(signed, Ring(9, []), 1, ordered=build), signed\n"),
--- a/cobaltpond/agent/listing.py
+++ b/cobaltpond/agent/listing.py
@@ -2,7 +2,7 @@
 import json
 
 from cobaltpond.agent.states import DRAINING
-from cobaltpond.calls import FAILED, Waits, call
+from cobaltpond.calls import FAILED, Backoff, call
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.sheet.parts import split_address
 
@@ -41,7 +41,7 @@
 
         def tell():
             """Until it is heard: what the list says must come true."""
-            waits = Waits(50_000, 1_000_000, self.loop.kernel.seed())
+            waits = Backoff(50_000, 1_000_000, self.loop.kernel.seed())
             while True:
                 try:
                     with Deadline(self.loop, CALL_TIME):
--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -11,7 +11,7 @@
 from cobaltpond.builds.fetch import Fetcher, FetchFailed
 from cobaltpond.builds.manifest import MOST_BYTES, Ring, Unfit, held_manifest, read_manifest, rings_after
 from cobaltpond.builds.store import Full, Rotten, Store
-from cobaltpond.calls import FAILED, Waits, call, follow
+from cobaltpond.calls import FAILED, Backoff, call, follow
 from cobaltpond.keep import Broken, Journal
 from cobaltpond.loop import Deadline, Sleep, TimedOut, Unreachable, run_part
 from cobaltpond.loop.chance import seeded
@@ -46,7 +46,7 @@
         self.place, self.processes, self.tasks, self.manifests = Place(), {}, {}, {}
         self.port, self.stop_asked, self.broken = 0, False, None
         self.seen = None                               # the newest state of the release that an order told of
-        self.waits = Waits(50_000, 1_000_000, kernel.seed())
+        self.waits = Backoff(50_000, 1_000_000, kernel.seed())
 
     def path(self, *names):
         return os.path.join(self.host.folder, *names)
--- a/cobaltpond/calls/client.py
+++ b/cobaltpond/calls/client.py
@@ -10,7 +10,7 @@
 NOT_SENT = (Refused, Unreachable, HandlesUsedUp)
 
 
-class Waits:
+class Backoff:
     """Growing, jittered waits between tries: guards against gateways that come back all at once."""
 
     def __init__(self, first: int, most: int, seed: int):
@@ -78,7 +78,7 @@
             self.connection.close()
 
 
-def follow(loop, address, target, take, silence: int, dial_time: int, waits: Waits, broken, also=()):
+def follow(loop, address, target, take, silence: int, dial_time: int, waits: Backoff, broken, also=()):
     """A stream of JSON lines, taken up again for ever. `target()` is asked at each try; `take(objects)` gets what
     comes; `broken(trouble)` hears of what FAILED names, TimedOut and `also`, which `take` may raise. Silence of
     `silence` microseconds counts as a broken stream: guards against a peer that is gone without a word."""
--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -1,6 +1,6 @@
 """The list of instances as the platform's discovery tells it: all of it once, then watches one after another."""
-from cobaltpond.calls import FAILED, Waits, call
-from cobaltpond.edge.handover import HandOver
+from cobaltpond.calls import FAILED, Backoff, call
+from cobaltpond.edge.source_switch import SourceSwitch
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.wire.address import split_address
 from cobaltpond.wire.lines import BadLine, one_object
@@ -49,7 +49,7 @@
     def __init__(self, loop, host, address, log, asking: bool):
         """`asking`: the decisions wait for answers, and so hear of those that bring nothing new."""
         self.loop, self.host, self.address, self.log, self.asking = loop, host, address, log, asking
-        self.listed, self.heard, self.following = Listed(), False, HandOver(loop, "discovery")
+        self.listed, self.heard, self.following = Listed(), False, SourceSwitch(loop, "discovery")
         self.counts = {"applied": 0, "errors": 0}
 
     def take(self, told) -> None:
@@ -78,7 +78,7 @@
 
     def follow(self, address):
         """For ever. An agent that says nothing or nonsense is asked for the whole list again."""
-        waits, whole = Waits(50_000, 1_000_000, self.loop.kernel.seed()), True
+        backoff, whole = Backoff(50_000, 1_000_000, self.loop.kernel.seed()), True
         while True:
             target = "/discovery/hosts" if whole else (
                 f"/discovery/hosts?after={self.listed.seq}&wait_ms={WATCH // 1000}")
@@ -89,7 +89,7 @@
                     raise BadLine(f"status {status}")
                 self.take(one_object(body))
                 whole, self.heard = False, True
-                waits.reset()
+                backoff.reset()
                 self.following.heard()
             except (*FAILED, TimedOut) as trouble:
                 self.counts["errors"] += 1
@@ -97,7 +97,7 @@
                 whole = True
                 if self.asking:
                     self.host.post_first("on_list_error")
-                yield Sleep(waits.next())
+                yield Sleep(backoff.next())
 
     def ask(self, whole: bool):
         """The decisions may ask where the settings say so; a watch stands here at all times."""
--- a/cobaltpond/edge/door.py
+++ b/cobaltpond/edge/door.py
@@ -15,22 +15,22 @@
 IDLE_PRESSED = 300_000                                 # or after this where another would have to wait
 WAITING_MOST = 16                                      # commands behind an open one
 UNREAD_MOST = 1 << 20                                  # bytes of answers that a client does not take
-PARTING, PARTING_BYTES = 500_000, 256 << 10            # how long and how much is read after our end of file
+CLOSING, CLOSING_BYTES = 500_000, 256 << 10            # how long and how much is read after our end of file
 SWEEP = 200_000
 
 
-class Visit:
+class ClientConnection:
     """One client's connection."""
 
     def __init__(self, door: "Door", connection: Connection):
         self.door, self.loop, self.connection = door, door.loop, connection
         self.asked, self.waiting, self.hit = pg.Asked(), [], None
         self.came = self.active = door.loop.now()
-        self.began, self.unread, self.writer, self.parting, self.thrown = False, b"", None, None, 0
+        self.began, self.unread, self.writer, self.closing, self.thrown = False, b"", None, None, 0
 
     @property
     def idle(self) -> bool:
-        return self.hit is None and self.writer is None and self.parting is None and not self.asked.torn
+        return self.hit is None and self.writer is None and self.closing is None and not self.asked.torn
 
     def put(self, data: bytes) -> None:
         """Sends; what the client does not take at once is kept, within a bound, and sent by a task."""
@@ -58,14 +58,14 @@
         except PeerLost:
             self.connection.close()
         self.writer = None
-        if self.parting is not None:
+        if self.closing is not None:
             self.connection.handle.finish()
 
-    def part(self) -> None:
+    def half_close(self) -> None:
         """Our end of file first; closed once the client has sent its own, or little more has come, or time has
         passed: closing at once on bytes that lie unread would reset the answer away."""
-        if self.parting is None:
-            self.parting = self.loop.now()
+        if self.closing is None:
+            self.closing = self.loop.now()
             self.waiting.clear()
             if self.writer is None:
                 self.connection.handle.finish()
@@ -74,9 +74,9 @@
         """One FATAL error, and the end. A hit that is open here gets that for its final answer."""
         self.door.count("unfit")
         self.leave()
-        if self.parting is None:
+        if self.closing is None:
             self.put(pg.error(code, text, fatal=True))
-            self.part()
+            self.half_close()
 
     def leave(self) -> None:
         hit, self.hit = self.hit, None
@@ -100,7 +100,7 @@
             self.refuse(value.code, str(value))
         else:                                          # Terminate, or a wish to call off: nothing is owed to it
             self.leave()
-            self.part()
+            self.half_close()
 
     def ask(self, text: bytes) -> None:
         door = self.door
@@ -138,20 +138,20 @@
         """The open hit has its final answer: the next command's turn."""
         self.hit = None
         if self.door.draining and not self.waiting:
-            self.part()
-        while self.waiting and self.hit is None and self.parting is None:
+            self.half_close()
+        while self.waiting and self.hit is None and self.closing is None:
             self.ask(self.waiting.pop(0))
 
 
 class Hit(Owed):
-    def __init__(self, visit: Visit, statement: Statement):
-        super().__init__(visit.door.host.next_number(), statement.id.decode(), visit.door)
-        self.visit, self.statement = visit, statement
+    def __init__(self, client: ClientConnection, statement: Statement):
+        super().__init__(client.door.host.next_number(), statement.id.decode(), client.door)
+        self.client, self.statement = client, statement
 
     def answer(self, outcome: str, data: bytes) -> None:
         self.end(outcome)
-        self.visit.put(data)
-        self.visit.answered()
+        self.client.put(data)
+        self.client.answered()
 
     def deliver(self, value: bytes) -> None:
         self.answer("delivered", value + pg.READY)
@@ -174,7 +174,7 @@
         self.groups = {row["name"]: row for row in runsheet["path_groups"]}
         self.customers = {row["name"] for row in runsheet["customers"]}
         self.may_cancel = bool(runsheet.get("may_cancel"))
-        self.visits, self.open_ids, self.draining, self.counts = {}, {}, False, {}
+        self.clients, self.open_ids, self.draining, self.counts = {}, {}, False, {}
         self.listener = None
 
     def count(self, name: str) -> None:
@@ -198,73 +198,73 @@
     def open(self, listener) -> None:
         self.listener = listener
         self.accepting = self.loop.spawn(
-            serve(self.loop, listener, self.visit, self.room, "visit", pause=20_000, relief=self.relief), "door")
+            serve(self.loop, listener, self.client, self.room, "client", pause=20_000, evict=self.evict), "door")
         self.loop.spawn(self.sweep(), "door-sweep")
 
-    def relief(self) -> bool:
+    def evict(self) -> bool:
         """Room for who is at the door: first who came and asked nothing, then the longest idle. Guards against
         crowds that connect and say nothing, and clients that ask once and stay for good."""
         now = self.loop.now()
-        for visit in self.visits:
-            spare = not visit.began and now - visit.came > YOUNG or visit.idle and now - visit.active > IDLE_PRESSED
-            if spare and not visit.connection.closed:
-                self.count("relieved")
-                visit.connection.close()
+        for client in self.clients:
+            spare = not client.began and now - client.came > YOUNG or client.idle and now - client.active > IDLE_PRESSED
+            if spare and not client.connection.closed:
+                self.count("evicted")
+                client.connection.close()
                 return True
-        return len(self.visits) < self.most and self.host.places.relief()
+        return len(self.clients) < self.most and self.host.places.evict()
 
-    def visit(self, connection):
+    def client(self, connection):
         """A task for each connection: reads, and so hears of a client that hangs up."""
-        visit = Visit(self, connection)
-        self.visits[visit] = True
+        client = ClientConnection(self, connection)
+        self.clients[client] = True
         try:
             while True:
                 data = yield from connection.read()
                 if not data:
                     return
-                if visit.parting is not None:
-                    visit.thrown += len(data)
-                    if visit.thrown > PARTING_BYTES:
+                if client.closing is not None:
+                    client.thrown += len(data)
+                    if client.thrown > CLOSING_BYTES:
                         connection.abort()
                         return
                     continue
-                visit.active = self.loop.now()
-                for kind, value in visit.asked.feed(data):
-                    visit.take(kind, value)
-                    if visit.parting is not None:
+                client.active = self.loop.now()
+                for kind, value in client.asked.feed(data):
+                    client.take(kind, value)
+                    if client.closing is not None:
                         break
-                self.visits[visit] = self.visits.pop(visit)        # the longest idle come first
+                self.clients[client] = self.clients.pop(client)        # the longest idle come first
         finally:
-            self.visits.pop(visit, None)
-            visit.leave()
-            if visit.writer is not None:
-                visit.writer.cancel()
+            self.clients.pop(client, None)
+            client.leave()
+            if client.writer is not None:
+                client.writer.cancel()
 
     def sweep(self):
         """Closes who says nothing, stays in the middle of a message, or does not part: a task without end."""
         while True:
             yield Sleep(SWEEP)
             now = self.loop.now()
-            for visit in list(self.visits):
-                if visit.parting is not None:
-                    if now - visit.parting > PARTING:
-                        visit.connection.abort()
-                elif visit.hit is None and (visit.asked.torn or not visit.began):
-                    if now - (visit.active if visit.began else visit.came) > SILENT:
-                        visit.refuse("57P05", "nothing was asked")
-                elif visit.writer is not None and now - visit.active > SILENT:
-                    visit.connection.abort()
-                elif len(self.visits) * 2 > self.room() and visit.idle and now - visit.active > IDLE_ENOUGH:
-                    self.count("relieved")
-                    visit.connection.close()
-
-    def part_idle(self, since: int) -> None:
+            for client in list(self.clients):
+                if client.closing is not None:
+                    if now - client.closing > CLOSING:
+                        client.connection.abort()
+                elif client.hit is None and (client.asked.torn or not client.began):
+                    if now - (client.active if client.began else client.came) > SILENT:
+                        client.refuse("57P05", "nothing was asked")
+                elif client.writer is not None and now - client.active > SILENT:
+                    client.connection.abort()
+                elif len(self.clients) * 2 > self.room() and client.idle and now - client.active > IDLE_ENOUGH:
+                    self.count("evicted")
+                    client.connection.close()
+
+    def half_close_idle(self, since: int) -> None:
         """Ends what is open without a hit, and has been so for this long. Guards against clients that go on sending on
         every connection that stays open: also on one that was taken out of the backlog last, up to our very end."""
         now = self.loop.now()
-        for visit in list(self.visits):
-            if visit.hit is None and visit.parting is None and now - visit.active >= since:
-                visit.part()
+        for client in list(self.clients):
+            if client.hit is None and client.closing is None and now - client.active >= since:
+                client.half_close()
 
     def drain(self, linger: int, longest: int):
         """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open;
@@ -274,14 +274,14 @@
         while self.loop.now() < end:
             yield Sleep(10_000)
         self.accepting.cancel()
-        self.part_idle(0)
+        self.half_close_idle(0)
         end = self.loop.now() + longest
-        while self.loop.now() < end and any(v.hit is not None or v.writer is not None for v in self.visits):
+        while self.loop.now() < end and any(v.hit is not None or v.writer is not None for v in self.clients):
             yield Sleep(10_000)
-            self.part_idle(YOUNG)
+            self.half_close_idle(YOUNG)
         for hit in list(self.open_ids.values()):
             self.host.too_late(hit)
-        self.part_idle(0)
+        self.half_close_idle(0)
         end = self.loop.now() + 100_000
-        while self.visits and self.loop.now() < end:
+        while self.clients and self.loop.now() < end:
             yield Sleep(10_000)
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -31,10 +31,10 @@
 
 
 class Forwards:
-    """`still(place, since)`: does what the decision at `since` was built on hold?"""
+    """`is_current(place, since)`: does what the decision at `since` was built on hold?"""
 
-    def __init__(self, loop, places, still):
-        self.loop, self.places, self.still = loop, places, still
+    def __init__(self, loop, places, is_current):
+        self.loop, self.places, self.is_current = loop, places, is_current
         self.seen = dict.fromkeys(SEEN, 0)
 
     def carry(self, hit, number: int, place: Place, time_out: int, tell):
@@ -91,7 +91,7 @@
             except NoConnection as trouble:
                 return str(trouble)
             # a dial takes time: guards drains and the exposure cap against what was told meanwhile
-            if not wanted() or not self.of.still(self.place, self.began):
+            if not wanted() or not self.of.is_current(self.place, self.began):
                 return "changed meanwhile"
             answers = self.connection.answers
             answers.expect(self.tag)
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -22,7 +22,7 @@
         self.loop, self.path, self.config, self.log = loop, path, config, log
         sheet = config.runsheet
         self.places = Places(loop, config.instances, greet, self.instance_room)
-        self.forwards = Forwards(loop, self.places, self.still)
+        self.forwards = Forwards(loop, self.places, self.is_current)
         self.host = Host(loop, sheet, config.seed & 0xffffff, 4 * config.sockets, sheet["answer_slack"], self.places,
                          self.forwards, log)
         self.discovery = self.host.list = Discovery(loop, self.host, config.discovery, log,
@@ -41,12 +41,12 @@
         return min(self.config.client_room, self.config.room - self.places.open)
 
     def instance_room(self) -> int:
-        return min(self.config.instance_room, self.config.room - len(self.door.visits))
+        return min(self.config.instance_room, self.config.room - len(self.door.clients))
 
     def lag(self, late: int) -> None:
         self.late = max(self.late, late)
 
-    def still(self, place, since: int) -> bool:
+    def is_current(self, place, since: int) -> bool:
         """Does what a decision at `since` was built on hold: the instance (another start or build is another
         place), and no lower cap?"""
         row = place.row
@@ -102,7 +102,7 @@
         while True:
             yield Sleep(SAY)
             late, self.late = self.late, 0
-            self.log.info("figures", late_us=late, visits=len(self.door.visits), open=self.host.open_hits,
+            self.log.info("figures", late_us=late, clients=len(self.door.clients), open=self.host.open_hits,
                           hits=len(self.host.hits), held=self.places.open, tasks=len(self.loop.tasks),
                           timers=len(self.loop.timers.heap), peers=self.host.peers and self.host.peers.counts,
                           host=self.host.counts, **self.door.counts, given_up=self.host.decisions.given_up,
--- a/cobaltpond/edge/platform.py
+++ b/cobaltpond/edge/platform.py
@@ -1,8 +1,8 @@
 """The platform's release desk: votes, and the feed of what it tells without being asked."""
 import json
 
-from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
-from cobaltpond.edge.handover import HandOver
+from cobaltpond.calls import FAILED, NOT_SENT, Backoff, call, follow
+from cobaltpond.edge.source_switch import SourceSwitch
 from cobaltpond.gateway.news import ANSWERS
 from cobaltpond.loop import Deadline, TimedOut
 from cobaltpond.wire.lines import BadLine, one_object
@@ -23,7 +23,7 @@
 class Platform:
     def __init__(self, loop, host, address, vote_wait: int, dial_time: int, log):
         self.loop, self.host, self.address, self.log = loop, host, address, log
-        self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, HandOver(loop, "feed")
+        self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, SourceSwitch(loop, "feed")
         self.heard, self.last, self.lowered = False, None, {}
         self.counts = {"news": 0, "wrong": 0, "errors": 0}
 
@@ -82,7 +82,7 @@
             self.log.warning("feed broken", why=f"{type(trouble).__name__}: {trouble}"[:200])
 
         yield from follow(self.loop, address, lambda: FEED, take, SILENCE, self.dial_time,
-                          Waits(50_000, 1_000_000, self.loop.kernel.seed()), broken)
+                          Backoff(50_000, 1_000_000, self.loop.kernel.seed()), broken)
 
     def vote(self, build, stage, verdict):
         """One vote and exactly one answer: ok, moot, full, error (it did not count), timeout (it may count)."""
--- a/cobaltpond/edge/handover.py
+++ b/cobaltpond/edge/source_switch.py
@@ -1,7 +1,7 @@
 """One address followed after another: those before end once the newest has heard."""
 
 
-class HandOver:
+class SourceSwitch:
     def __init__(self, loop, name: str):
         self.loop, self.name, self.tasks = loop, name, []
 
--- a/cobaltpond/gateway/door.py
+++ b/cobaltpond/gateway/door.py
@@ -150,19 +150,19 @@
     def open(self, listener):
         self.listener = listener
         self.accepting = self.loop.spawn(
-            serve(self.loop, listener, self.visit, self.sheet.door.connections, "visit", relief=self.relief), "door")
+            serve(self.loop, listener, self.visit, self.sheet.door.connections, "visit", evict=self.evict), "door")
         self.sweeper = self.loop.spawn(self.sweep(), "door-sweep")
 
-    def relief(self) -> bool:
+    def evict(self) -> bool:
         """No handle left for who is at the door: the client that has been idle the longest goes, else a kept
         connection to an instance. Guards against hits that wait unseen in the backlog past their client timeout."""
         idle = [v for v in self.visits if v not in self.parting and not v.mid_head and not v.connection.closed
                 and (v.hit is None or v.hit.final and not v.hit.streaming) and (v.writing is None or v.writing.done)]
         if idle and self.loop.now() - idle[0].active > IDLE_ENOUGH:
-            self.count("relieved")
+            self.count("evicted")
             idle[0].connection.close()                 # nothing of it is unread: it sees an end of file
             return True
-        return self.host.places.relief()
+        return self.host.places.evict()
 
     def visit(self, connection):
         """A task for each connection: reads, and so hears of a client that hangs up."""
--- a/cobaltpond/gateway/follow.py
+++ b/cobaltpond/gateway/follow.py
@@ -9,7 +9,7 @@
 import zlib
 from urllib.parse import urlencode
 
-from cobaltpond.calls import FAILED, Waits, call, follow
+from cobaltpond.calls import FAILED, Backoff, call, follow
 from cobaltpond.decisions.told import Told
 from cobaltpond.loop import Deadline, Sleep, TimedOut
 from cobaltpond.recovery.listed import Doubt
@@ -94,7 +94,7 @@
         self.held, self.heard, self.dirty = Held(), False, False
         self.said = lambda: None                       # called whenever the list has been applied
         self.doubt, self.recalled = Doubt(self.answers), {}    # rows of the kept list, until one has been heard
-        self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
+        self.waits = Backoff(100_000, 3_000_000, loop.kernel.seed())
         self.counts = {"applied": 0, "gaps": 0, "errors": 0}
 
     def recall(self) -> None:
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -103,7 +103,7 @@
                 pass
             self.close(place, connection)
         if place.open >= self.limits.connections or (
-                self.most is not None and self.open >= self.most() and not self.relief()):
+                self.most is not None and self.open >= self.most() and not self.evict()):
             raise NoConnection("no connection free")
         if not self.allowed(place):
             raise NoConnection("not our turn")
@@ -113,7 +113,7 @@
             try:
                 connection = yield from self.made(place)
             except HandlesUsedUp:
-                if not self.relief():
+                if not self.evict():
                     raise
                 connection = yield from self.made(place)
         except BaseException as trouble:
@@ -160,7 +160,7 @@
         self.open -= 1
         connection.abort() if reset else connection.close()
 
-    def relief(self) -> bool:
+    def evict(self) -> bool:
         """Closes the kept connection that has been idle the longest. False where there is none."""
         place = min((p for p in self.by_id.values() if p.idle), key=lambda p: p.idle[0][1], default=None)
         if place is not None:
--- a/cobaltpond/gateway/news.py
+++ b/cobaltpond/gateway/news.py
@@ -2,7 +2,7 @@
 import json
 from urllib.parse import urlencode
 
-from cobaltpond.calls import FAILED, NOT_SENT, Waits, call, follow
+from cobaltpond.calls import FAILED, NOT_SENT, Backoff, call, follow
 from cobaltpond.loop import Deadline, TimedOut
 from cobaltpond.wire.address import split_address
 
@@ -15,7 +15,7 @@
     def __init__(self, loop, sheet, host, log):
         self.loop, self.sheet, self.host, self.log = loop, sheet, host, log
         self.address, self.heard, self.last = split_address(sheet.desk.address), False, None
-        self.waits = Waits(100_000, 3_000_000, loop.kernel.seed())
+        self.waits = Backoff(100_000, 3_000_000, loop.kernel.seed())
         self.said = lambda *state: None                # called with each word of the desk
         self.seen = None                               # the newest state acted by, as the desk is told of it again
         self.counts = {"news": 0, "tallies": 0, "wrong": 0, "errors": 0}
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -60,10 +60,10 @@
             handle.close()
 
 
-def serve(loop, listener, answer, most, name, pause=50_000, relief=lambda: False):
+def serve(loop, listener, answer, most, name, pause=50_000, evict=lambda: False):
     """Accepts for ever; `answer(connection)` is a task each, `most` (a number, or called) at once; the rest waits.
 
-    Guards against used-up descriptors: `relief()` closes what can be spared and says whether there was any; else
+    Guards against used-up descriptors: `evict()` closes what can be spared and says whether there was any; else
     accepting pauses, what is open goes on, and nothing spins.
     """
     open_now, number = [0], 0
@@ -80,12 +80,12 @@
     try:
         while True:
             if open_now[0] >= (most() if callable(most) else most):
-                yield Sleep(0 if relief() else pause)
+                yield Sleep(0 if evict() else pause)
                 continue
             try:
                 handle = listener.accept()
             except HandlesUsedUp:
-                yield Sleep(0 if relief() else pause)
+                yield Sleep(0 if evict() else pause)
                 continue
             if handle is None:
                 yield Readable(listener)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -175,8 +175,8 @@
         yield from asked.send(statement(1), start=True)
         for part in (b"", pg.startup("web", "orders"), HEAD + b"Q\0\0"):
             world.loop.spawn(world.raw(part), "silent")
-        yield from world.until(lambda: len(world.edge.door.visits) == 4)
-        yield from world.until(lambda: len(world.edge.door.visits) == 1)
+        yield from world.until(lambda: len(world.edge.door.clients) == 4)
+        yield from world.until(lambda: len(world.edge.door.clients) == 1)
         return world.loop.now() - began
     assert 2_000_000 < world.run(go()) < 2_900_000
 
@@ -191,7 +191,7 @@
             crowd.append((yield from world.connect()))
         with Deadline(world.loop, 2_000_000):
             answers = yield from world.ask(statement(1))
-        most = len(world.edge.door.visits) + world.edge.places.open
+        most = len(world.edge.door.clients) + world.edge.places.open
         for client in crowd:
             client.connection.close()
         return answers, most <= world.edge.config.room
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -278,7 +278,7 @@
             if not self.spared:
                 raise HandlesUsedUp("none left")
 
-        def relief(self):
+        def evict(self):
             self.spared += 1
             return True
 
@@ -287,7 +287,7 @@
     full = Full()
 
     def go():
-        task = loop.spawn(serve(loop, full, None, 4, "door", pause=10_000 * MS, relief=full.relief), "door")
+        task = loop.spawn(serve(loop, full, None, 4, "door", pause=10_000 * MS, evict=full.evict), "door")
         yield Sleep(20 * MS)
         task.cancel()
         yield task
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -90,7 +90,7 @@
         return told((yield from clients[0].read()))
     assert world.run(go()) == ("57014", None)                      # its time was up; it may have run
     assert seen["lost"] == 0 and seen["closed"] == 6 and seen["answered"] >= 3
-    assert world.edge.host.open_hits == 0 and not world.edge.door.visits
+    assert world.edge.host.open_hits == 0 and not world.edge.door.clients
 
 
 def test_what_comes_out_of_the_backlog_last_and_says_nothing_is_closed_before_the_end():
@@ -107,7 +107,7 @@
         yield from silent.send(start=True)
         yield from silent.read()
         got = yield from silent.messages()
-        still = any(visit.hit is not None for visit in world.edge.door.visits)
+        still = any(client.hit is not None for client in world.edge.door.clients)
         yield from drain.join()
         return got, still
     assert world.run(go()) == ((None, b""), True)                  # closed while the other's hit was still open
