Door, window and kept connections: what crosses a close, a dial or an idle time is not lost

- Window against dial: `rules.barred` compared with the key's window as it decided, the dial took up to its own time more and `edge/forwards.exchange` wrote whatever the time was.
The decisions now say by when a repeat has to be out (`send_within`); it is asked at the write and at each wait for more room.
`ClientConnection.quiet` reads first; half a request may come to its end.
- A new connection was closed with no word by `relief`: it is told 53300 first.
- `Host.forward` for a request already final told an outcome of number 0 whichever attempt it was; the record was forgotten before the decisions had heard of its end.
The second attempt stayed open in the module for good, and its instance looked fuller by one for good.
Now its own number is told, and the record stays for one turn more.
- A kept connection was swept at a quarter of the idle time's pace: between 0.9 and 1.15 of it one was still given out.
- The last accept at the end gave up where no descriptor was left; it now makes room and tries for a second.
- Samples told by others, and wrong answers told of late, that belong to an instance's life before its restart were taken for evidence of this one: the tag is the same.
- A class or tenant may have any name that the settings have, not only ASCII letters (a quote, a comma and a star never).

Checked and harmless, each with a test: several kept connections dead at once, a second answer while the end of the first is awaited, an answer in the turn of its client's close, a client's reset in the turn of its request, a restart at the same address before, during and after an attempt.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -41,7 +41,7 @@
         self.up = [row["id"] for row in rows if row["state"] == "up"] if whole else self.up
 
     def on_hit(self, now, hit, group, customer, key, left, cost, again):
-        self.host.forward(hit, self.up[self.chance.below(len(self.up))], left)
+        self.host.forward(hit, self.up[self.chance.below(len(self.up))], left, None)
 
     def on_outcome(self, now, hit, forward, ending, took, closed, report):
         if not closed:
--- a/cobaltpond/benchlink/link.py
+++ b/cobaltpond/benchlink/link.py
@@ -33,7 +33,8 @@
     def put(self, name: str, **fields) -> None:
         self.out.append(json.dumps({name: {"who": self.who, **fields}}, separators=(",", ":")))
 
-    def forward(self, hit, instance, time_out):
+    def forward(self, hit, instance, time_out, send_within):
+        """The wire has no word for `send_within`: what is sent again there is sent as it is decided."""
         self.put("RELAY", txn=hit, instance=instance, patience=time_out / 1000)
 
     def cancel(self, hit, forward):
--- a/cobaltpond/decisions/judging.py
+++ b/cobaltpond/decisions/judging.py
@@ -83,7 +83,8 @@
         mark, index, errored, latency, crowd, age = Told.unpack(data)
         instance, at = self.tagged().get(mark), now - age
         sent = at if errored else at - latency         # an error counts as a time-out and came much sooner
-        if instance and index < len(self.groups):
+        # the tag is the same over a restart: what tells of its former life is no evidence of this one
+        if instance and index < len(self.groups) and instance.age(sent) >= 0:
             self.enter_sample(list(self.groups.values())[index], Sample(
                 at, latency, errored, instance, sent // self.stretch, instance.warmth(sent), crowd), now)
 
@@ -195,5 +196,5 @@
     def on_wrong(self, now, id, group, age):
         """A wrong answer passed for a quick success: it counts as an errored hit of its build."""
         instance, group = self.fleet.by_id.get(id), self.groups.get(group)
-        if instance and group:
+        if instance and group and instance.age(now - age) >= 0:      # as above: maybe it was another build
             self.enter_sample(group, Sample(now, group.timeout, True, instance, -1, 0, 0), now)
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -139,10 +139,14 @@
             return "no time" if now + 2 * self.tick >= hit.deadline else "forwards used up"
         if now - hit.arrived > (USEFUL_SHARE if hit.forwards else HELD_SHARE) * hit.group.target:
             return "late after a forward" if hit.forwards else "no place that fits"
-        remembered = hit.risky and now - hit.risky.sent < hit.group.repeat_window - self.tick
-        may = not hit.risky or hit.group.kind == "repeatable" or hit.group.kind == "tagged" and remembered
+        may = not hit.risky or hit.group.kind == "repeatable" or (self.window_left(hit, now) or 0) > 0
         return None if may else "may not be repeated"
 
+    def window_left(self, hit, now):
+        """So long its key is remembered: a repeat has to be out by then, dial and all. None: no bound."""
+        bound = hit.risky and hit.group.kind == "tagged"
+        return hit.risky.sent + hit.group.repeat_window - self.tick - now if bound else None
+
     def admits(self, hit):
         """A thin gateway's limit in flight: a share of its hits is bounced at once, clients' repeats and the
         least benefit first. Guards against a jam that hundreds of gateways keep up together."""
@@ -167,7 +171,7 @@
         instance.build.sent.enter(hit.group.ledger, now)
         self.move(hit, State.OUT)
         self.wake_by(now + int(self.patience * hit.group.target) + 1, now)
-        self.host.forward(hit.id, instance.id, hit.deadline - now)
+        self.host.forward(hit.id, instance.id, hit.deadline - now, self.window_left(hit, now))
 
     def place_held(self, now):
         """First tries before repeats, most benefit for the work first, then the newest, the least late."""
--- a/cobaltpond/edge/door.py
+++ b/cobaltpond/edge/door.py
@@ -5,9 +5,9 @@
 does not read by size and time, connections by the configuration's descriptors.
 """
 from cobaltpond.gateway.hits import Owed
-from cobaltpond.loop import Connection, PeerLost, Sleep, serve
+from cobaltpond.loop import Connection, PeerLost, Sleep, Writable, serve
 from cobaltpond.wire import pg
-from cobaltpond.wire.statement import NoStatement, Statement
+from cobaltpond.wire.statement import PLAIN_NAME, NoStatement, Statement
 
 SILENT = 2_200_000                                     # a client that has asked nothing goes: 3 s are its due
 YOUNG = 150_000                                        # who means to ask has asked by then, when room is short
@@ -17,6 +17,9 @@
 UNREAD_MOST = 1 << 20                                  # bytes of answers that a client does not take
 CLOSING, CLOSING_BYTES = 500_000, 256 << 10            # how long and how much is read after our end of file
 SWEEP = 200_000
+FOREVER = 1 << 60
+TOO_MANY = pg.error("53300", "too many connections, and nothing was asked", fatal=True)
+ENDING = pg.error("53300", "this gateway ends", fatal=True)
 
 
 class ClientConnection:
@@ -32,6 +35,28 @@
     def idle(self) -> bool:
         return self.hit is None and self.writer is None and self.closing is None and not self.asked.torn
 
+    def hear(self, data: bytes) -> None:
+        """Bytes of the client."""
+        self.active = self.loop.now()
+        for kind, value in self.asked.feed(data):
+            self.take(kind, value)
+            if self.closing is not None:
+                break
+
+    def quiet(self) -> bool:
+        """Has nothing come that has no answer yet, in whole or in part, read or still unread in the socket? What is
+        unread is read now. Guards against a close that crosses a request: one that lies in the socket is not lost by
+        it, nor thrown away behind our end of file."""
+        if self.hit is not None or self.waiting or self.closing is not None:
+            return False
+        try:
+            data = self.connection.read_now()
+        except PeerLost:
+            return True
+        if data:
+            self.hear(data)
+        return not data and not self.asked.torn
+
     def put(self, data: bytes) -> None:
         """Sends; what the client does not take at once is kept, within a bound, and sent by a task."""
         self.active = self.loop.now()
@@ -53,12 +78,17 @@
     def rest(self):
         try:
             while self.unread:
-                piece, self.unread = self.unread, b""
-                yield from self.connection.write(piece)
+                sent = self.connection.write_now(self.unread)
+                if sent:                               # a slow reader that reads on is not cut off
+                    self.unread, self.active = self.unread[sent:], self.loop.now()
+                else:
+                    yield Writable(self.connection.handle)
         except PeerLost:
+            self.unread = b""
             self.connection.close()
         self.writer = None
         if self.closing is not None:
+            self.closing = self.loop.now()
             self.connection.handle.finish()
 
     def half_close(self) -> None:
@@ -78,6 +108,11 @@
             self.put(pg.error(code, text, fatal=True))
             self.half_close()
 
+    def turn_away(self, data: bytes) -> None:
+        """A FATAL refusal and the end: for who has no request open here."""
+        self.put(data)
+        self.half_close()
+
     def leave(self) -> None:
         hit, self.hit = self.hit, None
         if hit is not None:
@@ -113,6 +148,8 @@
             group = door.groups.get(statement.group)
             if group is None:
                 raise NoStatement("no such path group")
+            if statement.customer not in door.customers and not PLAIN_NAME.fullmatch(statement.customer):
+                raise NoStatement("no such tenant")
             if not 0 < statement.left:
                 raise NoStatement("no time to answer in")
             if group["kind"] == "tagged" and statement.key is None:
@@ -122,14 +159,14 @@
         except NoStatement as trouble:
             self.refuse("42601", str(trouble))
             return
-        if door.host.full():
+        left = min(statement.left, group["client_timeout"], door.time_remaining())
+        if door.host.full() or left <= 0:
             door.count("turned away")
-            self.put(pg.error("53300", "no room for a further hit") + pg.READY)
+            self.put(pg.error("53300", "no room for a further hit" if left > 0 else "this gateway ends") + pg.READY)
             return
         self.hit = Hit(self, statement)
         door.open_ids[statement.id] = self.hit
         customer = statement.customer if statement.customer in door.customers else None
-        left = min(statement.left, group["client_timeout"])
         slack = door.host.slack
         door.host.take(self.hit, statement.group, customer, int(statement.ref, 16) >> 11, left, None,
                        statement.again, left - slack // 2)
@@ -137,10 +174,10 @@
     def answered(self) -> None:
         """The open hit has its final answer: the next command's turn."""
         self.hit = None
-        if self.door.draining and not self.waiting:
-            self.half_close()
         while self.waiting and self.hit is None and self.closing is None:
             self.ask(self.waiting.pop(0))
+        if self.door.draining and self.quiet():
+            self.half_close()
 
 
 class Hit(Owed):
@@ -175,11 +212,15 @@
         self.customers = {row["name"] for row in runsheet["customers"]}
         self.may_cancel = bool(runsheet.get("may_cancel"))
         self.clients, self.open_ids, self.draining, self.counts = {}, {}, False, {}
-        self.listener = None
+        self.listener, self.ends_at = None, None       # when all answers are out, once it drains
 
     def count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def time_remaining(self) -> int:
+        """Microseconds in which an answer can still be given."""
+        return FOREVER if self.ends_at is None else self.ends_at - self.loop.now()
+
     def ended(self, hit: Hit) -> None:
         self.count(hit.outcome)
         self.open_ids.pop(hit.statement.id, None)
@@ -203,14 +244,22 @@
 
     def evict(self) -> bool:
         """Room for who is at the door: first who came and asked nothing, then the longest idle. Guards against
-        crowds that connect and say nothing, and clients that ask once and stay for good."""
-        now = self.loop.now()
-        for client in self.clients:
+        crowds that connect and say nothing, and clients that ask once and stay for good. Who asked nothing is told
+        so: a new connection that ends without a word counts as a request turned away, or lost."""
+        now, turned_away = self.loop.now(), False
+        for client in list(self.clients):
             spare = not client.began and now - client.came > YOUNG or client.idle and now - client.active > IDLE_PRESSED
             if spare and not client.connection.closed:
-                self.count("evicted")
-                client.connection.close()
-                return True
+                if client.quiet():
+                    self.count("evicted")
+                    if not client.began:
+                        client.put(TOO_MANY)
+                    client.connection.close()          # nothing lies unread: it ends as a half-close does
+                    return True
+                if client.asked.torn and client.active < now and not turned_away:
+                    self.count("evicted")
+                    turned_away = True
+                    client.turn_away(TOO_MANY)         # its room is free when it has closed, or soon
         return len(self.clients) < self.most and self.host.places.evict()
 
     def client(self, connection):
@@ -228,11 +277,7 @@
                         connection.abort()
                         return
                     continue
-                client.active = self.loop.now()
-                for kind, value in client.asked.feed(data):
-                    client.take(kind, value)
-                    if client.closing is not None:
-                        break
+                client.hear(data)
                 self.clients[client] = self.clients.pop(client)        # the longest idle come first
         finally:
             self.clients.pop(client, None)
@@ -241,47 +286,60 @@
                 client.writer.cancel()
 
     def sweep(self):
-        """Closes who says nothing, stays in the middle of a message, or does not part: a task without end."""
+        """Closes who says nothing, stays in the middle of a message, or does not close: a task without end."""
         while True:
             yield Sleep(SWEEP)
-            now = self.loop.now()
-            for client in list(self.clients):
-                if client.closing is not None:
-                    if now - client.closing > CLOSING:
-                        client.connection.abort()
-                elif client.hit is None and (client.asked.torn or not client.began):
-                    if now - (client.active if client.began else client.came) > SILENT:
-                        client.refuse("57P05", "nothing was asked")
-                elif client.writer is not None and now - client.active > SILENT:
+            self.sweep_once()
+
+    def sweep_once(self) -> None:
+        now = self.loop.now()
+        for client in list(self.clients):
+            if client.writer is not None:
+                if now - client.active > SILENT:
                     client.connection.abort()
-                elif len(self.clients) * 2 > self.room() and client.idle and now - client.active > IDLE_ENOUGH:
-                    self.count("evicted")
+            elif client.closing is not None:
+                if now - client.closing > CLOSING:
                     client.connection.close()
+            elif client.hit is None and (client.asked.torn or not client.began):
+                if now - (client.active if client.began else client.came) > SILENT:
+                    client.refuse("57P05", "nothing was asked")
+            elif len(self.clients) * 2 > self.room() and client.idle and now - client.active > IDLE_ENOUGH:
+                if client.quiet():
+                    self.count("evicted")
+                    client.half_close()
 
     def half_close_idle(self, since: int) -> None:
-        """Ends what is open without a hit, and has been so for this long. Guards against clients that go on sending on
-        every connection that stays open: also on one that was taken out of the backlog last, up to our very end."""
+        """Ends what is open without a request, and has been so for this long. Guards against clients that go on sending
+        on every connection that stays open: also on one that was taken out of the backlog last, up to our very end.
+        Who is in the middle of a request may end it."""
         now = self.loop.now()
         for client in list(self.clients):
-            if client.hit is None and client.closing is None and now - client.active >= since:
-                client.half_close()
-
-    def drain(self, linger: int, longest: int):
-        """New connections go on being taken for `linger`; each one goes after its answer. Ends once no hit is open;
-        one that still is after `longest` more gets its final answer then: none is lost by the end."""
-        self.draining = True
-        end = self.loop.now() + linger
-        while self.loop.now() < end:
+            if now - client.active >= since and client.quiet():
+                if client.began:
+                    client.half_close()
+                else:                                  # it waits for an answer, as far as we know
+                    client.turn_away(ENDING)
+
+    def drain(self, linger: int, longest: int, flush: int = 100_000, began: int | None = None):
+        """New connections go on being taken for `linger` after `began` (now, where it is None); each one goes after its
+        answer. What is open `longest` later gets its final answer then, and what comes later still is turned away at
+        once. Ends when all is answered and closed, or `flush` later: none is lost by the end."""
+        began = self.loop.now() if began is None else began
+        self.draining, self.ends_at = True, began + linger + longest
+        while self.loop.now() < began + linger:
             yield Sleep(10_000)
         self.accepting.cancel()
+        yield from self.accepting.join()               # it takes what waits in the backlog
         self.half_close_idle(0)
-        end = self.loop.now() + longest
-        while self.loop.now() < end and any(v.hit is not None or v.writer is not None for v in self.clients):
+        while self.loop.now() < self.ends_at and any(c.closing is None or c.writer for c in self.clients):
             yield Sleep(10_000)
             self.half_close_idle(YOUNG)
         for hit in list(self.open_ids.values()):
             self.host.too_late(hit)
-        self.half_close_idle(0)
-        end = self.loop.now() + 100_000
+        for client in list(self.clients):
+            if client.asked.torn and client.closing is None:
+                client.turn_away(ENDING)
+        end = self.loop.now() + flush
         while self.clients and self.loop.now() < end:
+            self.half_close_idle(0)
             yield Sleep(10_000)
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -5,7 +5,7 @@
 """
 from cobaltpond.gateway.endings import SEEN
 from cobaltpond.gateway.instances import NoConnection, Place
-from cobaltpond.loop import Deadline, PeerLost, TimedOut
+from cobaltpond.loop import Deadline, PeerLost, TimedOut, Writable
 from cobaltpond.wire import pg
 
 USER, DATABASE = "web", "orders"
@@ -37,9 +37,9 @@
         self.loop, self.places, self.is_current = loop, places, is_current
         self.seen = dict.fromkeys(SEEN, 0)
 
-    def carry(self, hit, number: int, place: Place, time_out: int, tell):
+    def carry(self, hit, number: int, place: Place, time_out: int, send_within: int | None, tell):
         """A task. `tell(ending, took, closed, report)` is called exactly once, also when it is cancelled."""
-        run = Run(self, place, hit.statement.waiting, hit.statement.tag, time_out)
+        run = Run(self, place, hit.statement.waiting, hit.statement.tag, time_out, send_within)
         yield from run.whole(lambda: not hit.final, hit.deliver, tell)
 
     def probe(self, place: Place, tell):
@@ -51,10 +51,11 @@
 class Run:
     """One forward under way."""
 
-    def __init__(self, forwards: Forwards, place: Place, statement, tag: bytes, time_out: int):
+    def __init__(self, forwards: Forwards, place: Place, statement, tag: bytes, time_out: int, send_within=None):
         self.of, self.loop, self.place, self.statement, self.tag = forwards, forwards.loop, place, statement, tag
         self.began, self.time_out = forwards.loop.now(), time_out
-        self.connection, self.wrote = None, False
+        self.send_by = None if send_within is None else self.began + send_within
+        self.connection, self.begun, self.wrote = None, False, False
 
     def whole(self, wanted, deliver, tell):
         """`wanted()`: does anybody still wait for it? `deliver(value)`: the whole answer."""
@@ -90,17 +91,12 @@
                 self.connection, kept = yield from places.take(self.place)
             except NoConnection as trouble:
                 return str(trouble)
-            # a dial takes time: guards drains and the exposure cap against what was told meanwhile
-            if not wanted() or not self.of.is_current(self.place, self.began):
-                return "changed meanwhile"
             answers = self.connection.answers
             answers.expect(self.tag)
             left = max(1, (self.began + self.time_out - self.loop.now()) // 1000)
-            data = pg.query(self.statement(left))
             try:
-                sent = self.connection.write_now(data)
-                if sent < len(data):
-                    yield from self.connection.write(data[sent:])
+                if (why := (yield from self.send(pg.query(self.statement(left)), wanted))) is not None:
+                    return why
                 break
             except PeerLost:
                 places.close(self.place, self.connection)
@@ -122,6 +118,26 @@
             return "answer"
         return "refusal" if answers.code in REFUSALS + PROBES else "server error"
 
+    def send(self, data, wanted):
+        """None once the last byte is out, else a key of SEEN. A dial takes time, and so does a machine that takes no
+        more bytes: guards drains, the exposure cap and the key's window against what was told or passed meanwhile."""
+        while True:
+            if not wanted() or not self.of.is_current(self.place, self.began):
+                return "changed meanwhile"
+            if self.send_by is not None and self.loop.kernel.now() >= self.send_by:
+                return "window over"
+            data = data[self.connection.write_now(data):]
+            if not data:
+                return None
+            self.begun = True
+            bound = Deadline(self.loop, self.time_out if self.send_by is None else self.send_by - self.loop.now())
+            try:
+                with bound:
+                    yield Writable(self.connection.handle)
+            except TimedOut:
+                if not bound.passed:
+                    raise
+
     def settle(self, place, connection):
         """What is still to come behind an answer, within the time of a dial; then it is kept or closed."""
         try:
@@ -146,8 +162,8 @@
         connection, self.connection = self.connection, None
         if connection is None:
             return
-        if seen == "changed meanwhile":                # nothing was written to it
-            self.of.places.give_back(self.place, connection)
+        if seen in ("changed meanwhile", "window over") and not self.begun:
+            self.of.places.give_back(self.place, connection)       # nothing was written to it
         elif seen in ("answer", "refusal", "server error"):
             self.hand_back(self.place, connection)
         else:
--- a/cobaltpond/gateway/endings.py
+++ b/cobaltpond/gateway/endings.py
@@ -20,6 +20,8 @@
     "no welcome": ("unreachable", "the dial was answered with no sense or an error: no byte of the hit has left"),
     "changed meanwhile": ("unreachable", "while the dial lasted, the list or the desk took back what the decision "
                                          "was built on: no byte of the hit has left"),
+    "window over": ("unreachable", "its key was no longer remembered when it could have been sent again: the last byte "
+                                   "has not left"),
     "cut while sending": ("unreachable", "the connection broke before the last byte of the hit was written"),
     "closed while idle": ("unreachable", "a kept connection had ended before the first byte was written, "
                                          "and no new one was to be had"),
--- a/cobaltpond/gateway/forwards.py
+++ b/cobaltpond/gateway/forwards.py
@@ -20,10 +20,11 @@
         self.loop, self.places, self.sheet, self.who = loop, places, sheet, who
         self.seen = dict.fromkeys(SEEN, 0)
 
-    def carry(self, hit, number: int, place: Place, time_out: int, tell):
-        """A task. `tell(ending, took, closed, report)` is called exactly once, also when it is cancelled."""
+    def carry(self, hit, number: int, place: Place, time_out: int, send_within: int | None, tell):
+        """A task. `send_within`: not written later than that. `tell(ending, took, closed, report)` is called exactly
+        once, also when it is cancelled."""
         sent, seen, report, closed = self.loop.now(), "called off", {}, False
-        run = Run(self, hit, number, place, time_out)
+        run = Run(self, hit, number, place, time_out, send_within)
         try:
             try:
                 with Deadline(self.loop, time_out):
@@ -73,9 +74,10 @@
 class Run:
     """One forward under way."""
 
-    def __init__(self, forwards, hit, number, place, time_out):
+    def __init__(self, forwards, hit, number, place, time_out, send_within=None):
         self.of, self.loop, self.hit, self.number, self.place = forwards, forwards.loop, hit, number, place
         self.end_at = self.loop.now() + time_out
+        self.send_by = None if send_within is None else self.loop.now() + send_within
         self.connection, self.writer, self.wrote = None, None, False
         self.head, self.body, self.size = None, [], 0
         self.ended = self.streaming = self.begun = False
@@ -94,6 +96,9 @@
                 return "nothing to send"
             except NoConnection as trouble:
                 return str(trouble)
+            if self.send_by is not None and self.loop.kernel.now() >= self.send_by:
+                self.close(reuse=True)                 # nothing was written to it
+                return "window over"
             try:
                 yield from self.send()
                 break
--- a/cobaltpond/gateway/host.py
+++ b/cobaltpond/gateway/host.py
@@ -66,7 +66,7 @@
 
     def ended(self, hit: Owed) -> None:
         self.open_hits -= 1
-        self.forget(hit)
+        self.loop.call_in(0, lambda: self.forget(hit))     # not before the decisions have heard of its end
 
     def forget(self, hit: Owed) -> None:
         if hit.final and all(task is None or task.done for task in hit.forwards):
@@ -88,12 +88,13 @@
 
     # --- what the decisions ask for ----------------------------------------------------------------------
 
-    def forward(self, hit, instance, time_out):
-        held, place = self.hits.get(hit), self.places.by_id.get(instance)
-        if held is None or held.final:                 # its client left in this very turn
-            self.loop.call_in(0, lambda: self.post("on_outcome", hit, 0, "moot", 0, True, {}))
-            return
+    def forward(self, hit, instance, time_out, send_within):
+        held, place = self.hits[hit], self.places.by_id.get(instance)
         number = len(held.forwards)
+        if held.final:                                 # its client left in this very turn
+            held.forwards.append(None)
+            self.loop.call_in(0, lambda: self.post("on_outcome", hit, number, "moot", 0, True, {}))
+            return
 
         def tell(ending, took, closed, report):
             held.last_ending = ending
@@ -108,7 +109,7 @@
         self.counts["forwards"] += 1
         self.places.promise(place)
         held.forwards.append(self.loop.spawn(
-            self.forwards.carry(held, number, place, time_out, tell), f"forward-{held.name}-{number}"))
+            self.forwards.carry(held, number, place, time_out, send_within, tell), f"forward-{held.name}-{number}"))
 
     def cancel(self, hit, forward):
         held = self.hits.get(hit)
--- a/cobaltpond/gateway/instances.py
+++ b/cobaltpond/gateway/instances.py
@@ -3,6 +3,7 @@
 
 from cobaltpond.loop import Deadline, HandlesUsedUp, PeerLost, Refused, Sleep, TimedOut, Unreachable, dial
 
+SWEEP_LEAST = 20_000                                   # between two sweeps, however short the idle time is
 PROMISED = 100_000                                     # a forward that has not asked by then will not ask any more
 
 
@@ -39,9 +40,9 @@
             place.promised = place.dials = 0
 
     def spare(self, place: Place) -> int:
-        """Kept connections that have rested."""
-        last = self.loop.now() - self.limits.rest_time
-        return sum(since <= last for _, since in place.idle)
+        """Kept connections that have rested, and not for too long."""
+        now = self.loop.now()
+        return sum(self.limits.rest_time <= now - since < self.limits.idle_time for _, since in place.idle)
 
     def promise(self, place: Place) -> None:
         """A forward will ask for a connection in this turn of the loop: what it will use is not promised twice."""
@@ -127,11 +128,12 @@
         return connection, False
 
     def rested(self, place: Place):
-        """The kept connection that came back last of those that have rested; None where there is none."""
-        last = self.loop.now() - self.limits.rest_time
+        """The kept connection that came back last of those that have rested; None where there is none. What has idled
+        its time is left to the sweep. Guards against the machine that closes it with a request on its way."""
+        now = self.loop.now()
         for at in range(len(place.idle) - 1, -1, -1):
             connection, since = place.idle[at]
-            if since <= last:
+            if self.limits.rest_time <= now - since < self.limits.idle_time:
                 del place.idle[at]
                 return connection
         return None
@@ -170,7 +172,7 @@
     def sweep(self):
         """Closes what has been idle for long; a task without end."""
         while True:
-            yield Sleep(self.limits.idle_time // 4)
+            yield Sleep(max(SWEEP_LEAST, self.limits.idle_time // 4))
             for place in list(self.by_id.values()):
                 while place.idle and self.loop.now() - place.idle[0][1] >= self.limits.idle_time:
                     self.close(place, place.idle.popleft()[0])
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -3,6 +3,7 @@
 from cobaltpond.loop.trouble import HandlesUsedUp, PeerLost
 
 CHUNK = 1 << 16
+LAST_TRIES = 50                                        # to take what waits in a backlog, with no descriptor left
 
 
 class Connection:
@@ -97,12 +98,18 @@
                 yield Sleep(0)                         # a flood of dials must not hold up the turn
     except Cancelled:
         # who waits in the backlog believes to be connected and may have sent something: take them all
-        try:
-            while (handle := listener.accept()) is not None:
-                open_now[0] += 1
-                loop.spawn(one(Connection(loop, handle)), f"{name}-last")
-        except HandlesUsedUp:
-            pass
+        tries = LAST_TRIES
+        while tries:
+            try:
+                handle = listener.accept()
+            except HandlesUsedUp:                      # they stay in the backlog until something is closed
+                tries -= 1
+                yield Sleep(0 if evict() else pause)
+                continue
+            if handle is None:
+                break
+            open_now[0] += 1
+            loop.spawn(one(Connection(loop, handle)), f"{name}-last")
         raise
     finally:
         listener.close()
--- a/cobaltpond/wire/statement.py
+++ b/cobaltpond/wire/statement.py
@@ -5,11 +5,13 @@
 _SELECT = rb"SELECT payload FROM entries WHERE ref = '(" + _HEX + rb")'"
 _INSERT = (rb"INSERT INTO entries \(ref, payload\) VALUES \('(" + _HEX + rb")', '\\x(?:[0-9a-f]{2}){0,65536}'\)"
            rb" RETURNING payload")
-_COMMENT = (rb" /\* id=(" + _HEX + rb"),c=([A-Za-z0-9_.-]{1,80}),t=([A-Za-z0-9_.-]{0,80}),d=([0-9]{1,9})"
+_NAME = rb"[^,*'\x00-\x1f\x7f]"                       # of a class or tenant: the settings have them as they like
+_COMMENT = (rb" /\* id=(" + _HEX + rb"),c=(" + _NAME + rb"{1,80}),t=(" + _NAME + rb"{0,80}),d=([0-9]{1,9})"
             rb"(?:,k=(" + _HEX + rb"))?(,r=1)? \*/")
 STATEMENT = re.compile(rb"(?:" + _SELECT + rb"|" + _INSERT + rb")" + _COMMENT)
 SELECTED, INSERTED = b"SELECT 1\0", b"INSERT 0 1\0"    # how their answers end
 SHOWN = b"SHOW\0"
+PLAIN_NAME = re.compile(r"[A-Za-z0-9_.-]*")            # of a tenant that the settings don't name
 
 
 class NoStatement(Exception):
@@ -27,7 +29,10 @@
             raise NoStatement("no statement of the two that are taken here")
         selected, inserted, self.id, group, customer, left, self.key, again = found.groups()
         self.ref, self.tag = selected or inserted, SELECTED if selected else INSERTED
-        self.group, self.customer = group.decode(), customer.decode()
+        try:
+            self.group, self.customer = group.decode(), customer.decode()
+        except UnicodeDecodeError:
+            raise NoStatement("a name that is no text") from None
         self.left, self.again = int(left) * 1000, again is not None
         self.head, self.tail = text[:found.start(6)], text[found.end(6):]
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -141,6 +141,10 @@
             if risky and (group["kind"] == "mutating" or
                           group["kind"] == "tagged" and now - risky[0][0] > group["repeat_window"]):
                 bad.append(("twice", id))
+            # sent within what is left of the window: a dial after the decision must not outlast it
+            bound = risky and group["kind"] == "tagged" and risky[0][0] + group["repeat_window"] - now
+            if bound and not (a[3] is not None and 0 < a[3] <= bound) or not bound and a[3] is not None:
+                bad.append(("not bound by the window", id))
             if risky and group["kind"] == "tagged":
                 (zone, cell), (first, room) = place(a[1], now), place(risky[0][1][1], risky[0][0])
                 if not {"all": True, "zone": zone == first, "cell": (zone, cell) == (first, room)}[
--- a/tests/test_thin.py
+++ b/tests/test_thin.py
@@ -46,6 +46,21 @@
     assert "back" not in votes[0] and "back" in votes[1]
 
 
+def test_what_others_say_of_an_instance_s_former_life_is_no_evidence_of_this_one():
+    """The tag of a message is the same over a restart, and a wrong answer is told of seconds later."""
+    started = 5_000 * MS
+    gateway = Bench([row("a", 1), row("n", 2, started=started)], news=(2, 0, "trial", 1.0), gateways=100,
+                    stage_caps=[1.0, 1.0]).gateway
+    instance, build = gateway.fleet.by_id["n"], gateway.fleet.builds[2]
+    for now, latency, age in ((5_400 * MS, 900 * MS, 0), (9_000 * MS, 200 * MS, 4_000 * MS)):
+        gateway.on_peer(now, 3, Told.pack(Sample(now, latency, False, instance, 0, 1.0, 0), 0, age))
+        gateway.on_wrong(now, "n", "look", now - started + 1)
+    assert not any(build.samples.values())
+    gateway.on_peer(9_000 * MS, 3, Told.pack(Sample(9_000 * MS, 900 * MS, False, instance, 0, 1.0, 0), 0, 0))
+    gateway.on_wrong(9_000 * MS, "n", "look", 1_000 * MS)
+    assert len(build.samples["look"]) == 2
+
+
 def test_weeks_without_a_release_keep_no_more_than_days():
     """Found by the soak on sockets: evidence was trimmed only where a build was judged."""
     bench = Bench([row("a"), row("b")], keys_stay=True)
