--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -92,10 +92,7 @@
                     status, body = yield from call(self.loop, address, "GET", target, b"", ANSWER)
                 if status != 200:
                     raise BadLine(f"status {status}")
-                told = one_object(body)
-                if self.following.replaced:
-                    return                             # another source took over while this answer came
-                before, version = version, self.take(told)
+                before, version = version, self.take(one_object(body))
                 self.heard = True
                 self.following.heard()
                 doubted = (self.loop.now() if doubted is None else doubted) if version < self.listed.seq else None
--- a/cobaltpond/edge/platform.py
+++ b/cobaltpond/edge/platform.py
@@ -11,6 +11,8 @@
 DECISIONS = {"none": "abstain", "on": "promote", "hold": "pause", "back": "abort"}
 BALLOTS, FEED = "/v2/projects/main/ballots", "/v2/projects/main/feed"
 SILENCE = 3_000_000                                    # a sign of life is due every second
+COURSE = ("trial", "released", "going back", "withdrawn")
+LOWERED = 7                                            # builds whose cap fell last: an attempt dials for a second or so
 NO_NEWS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -20,24 +22,35 @@
             min(1.0, max(0.0, float(told["MaxShare"]))), max(0, int(told["AgeMs"] * 1000)))
 
 
+def course(state: tuple) -> tuple:
+    """How far a release has come: build, phase, stage."""
+    return state[0], COURSE.index(state[2]), state[1]
+
+
 class Platform:
     def __init__(self, loop, host, address, vote_wait: int, dial_time: int, log):
         self.loop, self.host, self.address, self.log = loop, host, address, log
         self.vote_wait, self.dial_time, self.following = vote_wait, dial_time, SourceSwitch(loop, "feed")
-        self.heard, self.last, self.lowered = False, None, {}
+        self.heard, self.last, self.began, self.lowered = False, None, 0, {}
         self.counts = {"news": 0, "wrong": 0, "errors": 0}
 
     def news(self, told: dict, reply: bool = False) -> None:
-        """Raises one of NO_NEWS."""
-        state = state_of(told)
+        """Raises one of NO_NEWS. Guards against the answer to a vote that was on its way while the feed told of what
+        came after it: what comes before in a release's course, and began before, opens nothing again."""
+        state, now = state_of(told), self.loop.now()
         self.counts["news"] += 1
+        if self.last is not None and course(state) < course(self.last) and now - state[4] < self.began:
+            if reply:                                  # the vote counts all the same
+                self.host.post_first("on_news", *self.last, max(0, now - self.began), True, "ok")
+            return
+        self.began = now - state[4]
         if state[:4] != self.last:
             before = self.last
             self.last = state[:4]
             self.log.info("news", build=state[0], stage=state[1], phase=state[2], cap=state[3], age=state[4])
             # forwards decided on a higher cap, and not yet written, are not written any more
             if before is not None and (before[0] != state[0] or state[3] < before[3] or state[2] != before[2]):
-                self.lowered = {state[0]: self.loop.now()}
+                self.lowered = {**dict(list(self.lowered.items())[-LOWERED:]), state[0]: now}
         self.host.post_first("on_news", *state, reply, "ok")
 
     def take(self, objects: list) -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -295,6 +295,37 @@
     assert full.spared == 1 and full.tries >= 2
 
 
+def test_who_waits_in_the_backlog_at_the_end_is_taken_though_no_handle_is_left_at_first(loop):
+    class Used:
+        reader, tries, taken, closed = None, 0, 0, False
+
+        def accept(self):
+            self.tries += 1
+            if self.tries == 1:
+                return None                            # nobody there: it waits
+            if self.tries < 5:
+                raise HandlesUsedUp("none left")
+            self.taken += 1
+            return self if self.taken == 1 else None
+
+        def close(self):
+            self.closed = True
+    used, answered = Used(), []
+
+    def answer(connection):
+        answered.append(used.closed)
+        yield Sleep(0)
+
+    def go():
+        task = loop.spawn(serve(loop, used, answer, 4, "door", pause=2 * MS), "door")
+        yield Sleep(5 * MS)
+        task.cancel()
+        yield task
+        yield Sleep(5 * MS)
+    run(loop, go())
+    assert answered == [True] and used.tries == 6 and not loop.deaths
+
+
 def test_children_end_and_are_told_to(loop, tmp_path):
     child = loop.kernel.spawn([sys.executable, "-c", "print('up', flush=True); import time; time.sleep(60)"],
                               str(tmp_path / "out"))
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -10,6 +10,7 @@
 
 from cobaltpond.edge.config import BadConfig, config_of
 from cobaltpond.edge.main import Edge
+from cobaltpond.gateway.hits import Owed
 from cobaltpond.loop import Loop, Sleep
 from cobaltpond.wire import pg
 
@@ -99,6 +100,15 @@
     assert process.returncode == 0
 
 
+class Answered(Owed):
+    """A request whose answers go nowhere."""
+    def bounce(self, retry_after):
+        self.final = True
+
+    def error(self, late):
+        self.final = True
+
+
 NONSENSE = (None, "x", -1.0, [], {"a": 1})
 
 
@@ -133,5 +143,14 @@
                     continue
                 edge = Edge(Loop(world.loop.kernel), world.path, config, world.log)
                 edge.host.begin(seed=1)
+                decisions, rows = edge.host.decisions, [
+                    {"id": id, "build": 1, "state": "up", "started": None, "zone": "a", "cell": 0} for id in "ab"]
+                decisions.on_list(0, True, rows)
+                decisions.on_news(0, 2, 0, "trial", 0.5, 0, False, "ok")
+                decisions.hits.clear()
+                for number, name in enumerate(edge.door.groups):       # known to the host by then
+                    edge.host.hits[number] = Answered(number, "", edge.door)
+                    decisions.on_hit(1, number, name, None, 7, 500_000, None, False)
+                    decisions.on_outcome(2, number, 0, "ok", 1_000, False, {})
     assert refused > 100
     world.run(iter(()))
