--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,5 +1,6 @@
 """Pairs of events that cross, on real sockets, each order forced: what one party holds back comes only when the other
-event has happened. Clients and instances here; list, desk, signals and the end in `test_crossings_ends.py`.
+event has happened. Clients and instances here; list and desk in `test_crossings_list.py`, signals
+and the end in `test_crossings_ends.py`.
 `docs/notes-edge.md` has the table of pairs."""
 import socket
 import struct
