A source of lists is doubted for 6 s; flags of the settings may be anything, a class without a kind mutates

A refusal to start is worse than a flag of an odd type: only what is reckoned with is checked; a class without a kind is one that may not be repeated, as before.

--- a/cobaltpond/edge/config.py
+++ b/cobaltpond/edge/config.py
@@ -18,7 +18,8 @@
 REST = 50_000
 KINDS = ("repeatable", "tagged", "mutating")
 NO_FIGURES = {"name", "kind", "scope", "zone", "zones", "customers", "benefit_by", "weights", "reports", "report_names",
-              "gate", "layout", "exposure_by", "list_by", "path_groups"}
+              "gate", "layout", "exposure_by", "list_by", "path_groups", "keys_stay", "warm_keys", "may_cancel",
+              "may_duplicate", "may_probe", "may_tell", "may_advise"}
 
 
 class BadConfig(Exception):
@@ -90,8 +91,8 @@
                 raise BadConfig(f"the settings lack {name}")
         check_figures("the settings", sheet)
         for group in sheet["path_groups"]:
-            if not isinstance(group.get("name"), str) or group.get("kind") not in KINDS:
-                raise BadConfig(f"a class without a name or kind: {group}"[:200])
+            if not isinstance(group.get("name"), str) or group.setdefault("kind", "mutating") not in KINDS:
+                raise BadConfig(f"a class without a name, or of a kind that is not known: {group}"[:200])
             check_figures(f"class {group['name']}", group)
             if not (group.get("target_latency") and group.get("client_timeout")):
                 raise BadConfig(f"class {group['name']} lacks an aim or a deadline")
--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -8,7 +8,8 @@
 STATES = {"up": "up", "draining": "draining", "removed": "gone"}
 WATCH = 2_000_000                                      # how long a watch may wait for something new
 ANSWER = 1_000_000                                     # how late an answer that need not wait may come
-OLDER = 2_000_000                                      # how long a source that only tells of older versions is doubted
+OLDER = 6_000_000                                      # a source that tells only of older versions for so long has lost
+                                                       # them: whatever it was late with counts as told by then
 
 
 class Listed:
