--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -36,7 +36,6 @@
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.began = now
         self.said, self.fresh, self.trusted = "fine", False, False     # last verdict; evidence to look at
-        self.settled = False                           # long released: all that is there is the newest build
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -1,13 +1,16 @@
 """The list of instances as the platform's discovery tells it: all of it once, then watches one after another."""
 from cobaltpond.calls import FAILED, Backoff, call
 from cobaltpond.edge.source_switch import SourceSwitch
-from cobaltpond.loop import Deadline, Sleep, TimedOut
+from cobaltpond.loop import Deadline, Queue, Sleep, TimedOut
 from cobaltpond.wire.address import split_address
 from cobaltpond.wire.lines import BadLine, one_object
 
 STATES = {"up": "up", "draining": "draining", "removed": "gone"}
 WATCH = 2_000_000                                      # how long a watch may wait for something new
 ANSWER = 1_000_000                                     # how late an answer that need not wait may come
+PAUSE = 50_000                                         # after an answer that came early and told nothing
+ASK_AGAIN, LONGEST_PAUSE = 100_000, 100_000            # less than the grace that rules give what was told
+HOSTS = "/discovery/hosts"
 OLDER = 6_000_000                                      # a source that tells only of older versions for so long has lost
                                                        # them: whatever it was late with counts as told by then
 
@@ -84,13 +87,15 @@
         """For ever. An agent that says nothing, nonsense or only what is old is asked for the whole list again. Each
         source is asked by the version that it told itself (None: for the whole list): what it tells then fits on all
         that is newer than that, whoever told it."""
-        backoff, version, doubted = Backoff(50_000, 1_000_000, self.loop.kernel.seed()), None, None
+        backoff, version, doubted = Backoff(20_000, LONGEST_PAUSE, self.loop.kernel.seed()), None, None
         while True:
-            asked, target = self.loop.now(), "/discovery/hosts" if version is None else (
-                f"/discovery/hosts?after={version}&wait_ms={WATCH // 1000}")
+            asked, target = self.loop.now(), f"{HOSTS}?after={version}&wait_ms={WATCH // 1000}"
             try:
-                with Deadline(self.loop, ANSWER if version is None else WATCH + ANSWER):
-                    status, body = yield from call(self.loop, address, "GET", target, b"", ANSWER)
+                if version is None:
+                    status, body = yield from self.whole_list(address)
+                else:
+                    with Deadline(self.loop, WATCH + ANSWER):
+                        status, body = yield from call(self.loop, address, "GET", target, b"", ANSWER)
                 if status != 200:
                     raise BadLine(f"status {status}")
                 before, version = version, self.take(one_object(body))
@@ -101,9 +106,11 @@
                     # guards against a discovery that has lost its versions: what it says is all there is now
                     self.listed.seq, doubted, version = 0, None, None
                 elif before is not None and version <= before and self.loop.now() - asked < WATCH // 2:
-                    raise BadLine(f"an answer of version {version} at once, and nothing new after {before}")
-                elif before is not None:
-                    backoff.reset()
+                    # nothing new, though it need not have answered yet: the whole list, after a pause shorter than
+                    # what may lie between two calls. Guards against old versions for ever, and a loop without pauses
+                    version = None
+                    yield Sleep(PAUSE)
+                backoff.reset()
             except (*FAILED, TimedOut) as trouble:
                 self.counts["errors"] += 1
                 self.log.warning("discovery", why=f"{type(trouble).__name__}: {trouble}"[:200])
@@ -112,6 +119,37 @@
                     self.host.post_first("on_list_error")
                 yield Sleep(backoff.next())
 
+    def whole_list(self, address):
+        """(status, body) of whichever call answers first; asked again every `ASK_AGAIN`, as the agent is on this
+        machine and answers at once. Guards against one that was silent: it does not answer what it was asked
+        meanwhile, and what it has at its return counts as told at once."""
+        answers, calls = Queue(2 * ANSWER // ASK_AGAIN), []
+
+        def one():
+            try:
+                with Deadline(self.loop, ANSWER):
+                    told = yield from call(self.loop, address, "GET", HOSTS, b"", ANSWER)
+                answers.put_now((told, None))
+            except (*FAILED, TimedOut) as trouble:
+                answers.put_now((None, trouble))
+        try:
+            while True:
+                calls.append(self.loop.spawn(one(), "discovery-ask"))
+                again = Deadline(self.loop, ASK_AGAIN)
+                try:
+                    with again:
+                        told, trouble = yield from answers.get()
+                except TimedOut:
+                    if not again.passed:
+                        raise
+                    continue
+                if trouble is not None:
+                    raise trouble
+                return told
+        finally:
+            for task in calls:
+                task.cancel()
+
     def ask(self, whole: bool):
         """The decisions may ask where the settings say so; a watch stands here at all times."""
         return
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -155,6 +155,61 @@
     assert took < 600 * MS and more < 40               # and it is not asked without a pause
 
 
+def test_what_is_told_right_after_an_early_answer_is_known_within_the_grace_of_drains():
+    """Discovery comes back after a while, one watch is answered at once with nothing new, and the next change is told.
+    The pauses that grew while it was down must not be taken between the two."""
+    world, calls, told_at = PgWorld(answering(lambda text, _: good(text)), agent=5, known=True), [], []
+
+    def script(connection):
+        request = yield from connection.read()
+        calls.append(b"after" in request)
+        if len(calls) <= 4:                            # it is down
+            return
+        if not calls[-1]:
+            yield from connection.write(answer(whole(world.seq, *world.hosts)))
+        elif not told_at:
+            yield from connection.write(answer({"seq": world.seq, "whole": False, "hosts": []}))
+            world.tell(host="s-0", health="draining")
+            told_at.append(world.loop.now())
+        yield from connection.read()
+    world.listen_at(5, script)
+
+    def go():
+        yield from world.until(lambda: state(world) == {"s-0": "draining"})
+        return world.loop.now() - told_at[0]
+    assert world.run(go()) < 200 * MS
+
+
+@pytest.mark.parametrize("down", ["silent", "refusing"])
+def test_what_the_agent_has_at_its_return_is_known_at_once(down):
+    """Found on herd+mass 549558377948: it never answers what it was asked while it was silent, and gateways that waited
+    for that, or paused, went on sending to what drained for up to 1.7 s."""
+    world, back = PgWorld(answering(lambda text, _: good(text)), agent=5, known=True), []
+
+    def script(connection):
+        request = yield from connection.read()
+        if not back and down == "refusing":
+            return
+        if back and b"after" not in request:
+            yield from connection.write(answer(whole(world.seq, *world.hosts)))
+        yield from connection.read()
+    world.listen_at(5, script)
+
+    def go():
+        took = []
+        for wait in (2_000, 330, 570, 810):            # whenever it comes back in the course of calls and pauses
+            yield Sleep(wait * MS)
+            world.tell(host="s-0", health="draining" if len(took) % 2 == 0 else "up")
+            now, began = state(world)["s-0"], world.loop.now()
+            back.append(True)
+            yield from world.until(lambda now=now: state(world)["s-0"] != now)
+            took.append(world.loop.now() - began)
+            back.clear()
+            world.edge.discovery.start(world.edge.discovery.address)       # the watch that stands now is of no use
+        return took
+    assert max(world.run(go())) < 250 * MS
+
+
 @pytest.mark.parametrize("how", list(SILENT))
 def test_a_feed_that_says_nothing_more_is_opened_anew(how, monkeypatch):
     monkeypatch.setattr(platform, "SILENCE", 300 * MS)
