--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,10 +21,6 @@
     monkeypatch.setattr(PgWorld, "virtual", request.param == "virtual")
 
 
-def categories(**changes):
-    return {"categories": [{**c, **changes} for c in SETTINGS["categories"]]}
-
-
 def policy(**changes):
     return {"policyLimits": {**SETTINGS["policyLimits"], **changes}}
 
