--- a/tests/pgworld.py
+++ b/tests/pgworld.py
@@ -51,25 +51,34 @@
     return row(b"fine", tag_of(text)) + pg.READY
 
 
-def answering(answer):
-    """A script: `answer(text, number)` gives the bytes for a query, None to say nothing, or "reset"."""
+def exchanging(on_query, before_welcome=None):
+    """A script: `on_query(world, connection, text)` is a generator run for each query, once it is in `world.got`, and
+    `before_welcome(world)` one for each startup."""
     def script(world, connection):
         asked = pg.Asked()
         while data := (yield from connection.read()):
             for kind, value in asked.feed(data):
                 if kind == "startup":
+                    if before_welcome is not None:
+                        yield from before_welcome(world)
                     yield from connection.write(pg.welcome())
                 elif kind == "query":
                     world.got.append(value)
-                    reply = answer(value, len(world.got))
-                    if reply == "reset":
-                        connection.abort()
-                        return
-                    if reply is not None:
-                        yield from connection.write(reply)
+                    yield from on_query(world, connection, value)
     return script
 
 
+def answering(answer):
+    """A script: `answer(text, number)` gives the bytes for a query, None to say nothing, or "reset"."""
+    def on_query(world, connection, text):
+        reply = answer(text, len(world.got))
+        if reply == "reset":
+            connection.abort()
+        elif reply is not None:
+            yield from connection.write(reply)
+    return exchanging(on_query)
+
+
 class Client:
     """A raw client; `read` gives (kind letter, body) of each message up to ReadyForQuery or the end."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 import struct
 
 import pytest
-from pgworld import SETTINGS, PgWorld, answering, good, row, statement, tag_of, told
+from pgworld import SETTINGS, PgWorld, answering, exchanging, good, row, statement, tag_of, told
 
 from cobaltpond.loop import PeerLost, Sleep
 from cobaltpond.wire import pg
@@ -28,20 +28,15 @@
 def held_welcome(release, first=good):
     """The first connection is welcomed at once and its first statement gets `first`; later ones are welcomed when
     `release(world)` holds."""
-    def script(world, connection):
-        world.connections = number = getattr(world, "connections", 0) + 1
-        asked = pg.Asked()
-        while data := (yield from connection.read()):
-            for kind, value in asked.feed(data):
-                if kind == "startup":
-                    if number > 1:
-                        yield from world.until(lambda: release(world))
-                    yield from connection.write(pg.welcome())
-                elif kind == "query":
-                    world.got.append(value)
-                    world.got_at.append(world.loop.now())
-                    yield from connection.write((first if len(world.got) == 1 else good)(value))
-    return script
+    def before_welcome(world):
+        world.connections = getattr(world, "connections", 0) + 1
+        if world.connections > 1:
+            yield from world.until(lambda: release(world))
+
+    def on_query(world, connection, text):
+        world.got_at.append(world.loop.now())
+        yield from connection.write((first if len(world.got) == 1 else good)(text))
+    return exchanging(on_query, before_welcome)
 
 
 def error(text):
@@ -50,20 +45,13 @@
 
 def answering_then(reply, then, before=False):
     """`reply(text)` goes out and `then(number)` is done in one step, in this order or the other."""
-    def script(world, connection):
-        asked = pg.Asked()
-        while data := (yield from connection.read()):
-            for kind, value in asked.feed(data):
-                if kind == "startup":
-                    yield from connection.write(pg.welcome())
-                elif kind == "query":
-                    world.got.append(value)
-                    if before:
-                        then(len(world.got))
-                    yield from connection.write(reply(value))
-                    if not before:
-                        then(len(world.got))
-    return script
+    def on_query(world, connection, text):
+        if before:
+            then(len(world.got))
+        yield from connection.write(reply(text))
+        if not before:
+            then(len(world.got))
+    return exchanging(on_query)
 
 
 # --- the window of a key, and the dial ---
@@ -275,19 +263,12 @@
 
 def test_a_second_answer_while_the_end_of_the_first_is_awaited_is_nobody_s(either):
     """Row and command are whole, so the answer is passed on; the end of the exchange comes with a copy before it."""
-    def script(world, connection):
-        asked = pg.Asked()
-        while data := (yield from connection.read()):
-            for kind, value in asked.feed(data):
-                if kind == "startup":
-                    yield from connection.write(pg.welcome())
-                elif kind == "query":
-                    own = row(value[value.find(b"id=") + 15:][:4], tag_of(value))
-                    yield from connection.write(own)
-                    yield from world.until(lambda: sum(world.edge.door.counts.values()) > len(world.got))
-                    world.got.append(value)
-                    yield from connection.write(own + pg.READY)
-    world = PgWorld(script)
+    def on_query(world, connection, text):
+        own = row(text[text.find(b"id=") + 15:][:4], tag_of(text))
+        yield from connection.write(own)
+        yield from world.until(lambda: sum(world.edge.door.counts.values()) >= len(world.got))
+        yield from connection.write(own + pg.READY)
+    world = PgWorld(exchanging(on_query))
     assert world.run(world.ask(*(statement(n) for n in range(1, 5)))) == [
         ("delivered", b"%04x" % n) for n in range(1, 5)]
 
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -22,6 +22,15 @@
     return HEAD + b"content-length: %d\r\n\r\n" % len(body) + body
 
 
+def holding(held, name):
+    """An address that answers nothing: the test does, over `held[name]`, once it has been asked."""
+    def script(connection):
+        yield from connection.read()
+        held[name] = connection
+        yield from connection.read()
+    return script
+
+
 def state(world):
     return {id: place.row["state"] for id, place in world.edge.places.by_id.items()}
 
@@ -32,21 +41,14 @@
 def test_two_sources_answer_in_one_turn_and_the_older_list_of_the_older_source_is_not_taken_last(first, tmp_path):
     """Both answers are written in one step, in either order; the old source's says that the instance is still up."""
     held = {}
-
-    def hold(name):
-        def script(connection):
-            yield from connection.read()
-            held[name] = connection
-            yield from connection.read()
-        return script
     world = PgWorld(answering(lambda text, _: good(text)), tmp=tmp_path, agent=5, known=True)
-    world.listen_at(5, hold("old"))
+    world.listen_at(5, holding(held, "old"))
     up, drains = world.hosts[0], {**world.hosts[0], "health": "draining"}
     world.answers[3] = lambda request: world.watch(9, world.loop.now() + 1_000 * MS)
 
     def go():
         yield from world.until(lambda: "old" in held)
-        world.listen_at(6, hold("new"))
+        world.listen_at(6, holding(held, "new"))
         world.hup(discovery=f"127.0.0.1:{world.base + 6}")
         yield from world.until(lambda: "new" in held)
         lists = {"old": answer(whole(4, up)), "new": answer(whole(7, drains))}
@@ -272,16 +274,9 @@
     world, held = PgWorld(answering(lambda text, _: good(text))), {}
     desk = world.edge.platform
 
-    def feed(name):
-        def script(connection):
-            yield from connection.read()
-            held[name] = connection
-            yield from connection.read()
-        return script
-
     def go():
         for offset, name in ((5, "old"), (6, "new")):
-            world.listen_at(offset, feed(name))
+            world.listen_at(offset, holding(held, name))
             desk.start(("127.0.0.1", world.base + offset))
             yield from world.until(lambda name=name: name in held)
         wrong = {"type": "DISPUTE", "object": {"InstanceId": "s-0", "Lane": "look", "AgeMs": 900}}
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -2,7 +2,7 @@
 import json
 
 import pytest
-from pgworld import PgWorld, answering, good, row, statement, tag_of, told
+from pgworld import PgWorld, answering, exchanging, good, row, statement, tag_of, told
 
 from cobaltpond.edge.discovery import ANSWER, WATCH, Listed
 from cobaltpond.loop import Deadline, Sleep
@@ -18,21 +18,13 @@
 
 def twice(late):
     """An instance that answers every hit once more, a little later."""
-    def script(world, connection):
-        asked = pg.Asked()
-
-        def again(reply):
+    def on_query(world, connection, text):
+        def again():
             yield Sleep(late)
-            connection.write_now(reply)
-        while data := (yield from connection.read()):
-            for kind, value in asked.feed(data):
-                if kind == "startup":
-                    yield from connection.write(pg.welcome())
-                elif kind == "query":
-                    world.got.append(value)
-                    yield from connection.write(named(value))
-                    world.loop.spawn(again(named(value)), "again")
-    return script
+            connection.write_now(named(text))
+        yield from connection.write(named(text))
+        world.loop.spawn(again(), "again")
+    return exchanging(on_query)
 
 
 @pytest.mark.parametrize("late", [0, 2_000, 15_000])
