Tests of coming back hit until the slow instance was met: whether it was hung on turns of dials

Ruled out: answers that come too late or stale (asked: 2 answers, 0 rows, 0 stale; 1.3 to 1.5 s from the last request to the word that the gateway failed).

Change: in the two tests that need every instance to be met dials are not scarce, all instances take 20 ms, and then requests go on until the slow one (1 s) has answered one at each gateway that is to speak of it. The test of the list asks until all three others were seen, and wants just these, as before.

--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -15,6 +15,25 @@
     return one
 
 
+FREE = SETTLE.replace("dials = 40.0", "dials = 4000.0")     # for tests in which each instance has to be met
+
+
+def met_slowly(one, numbers, name="old-0"):
+    """Each of these gateways has hits answered, then one by an instance that has become slow. Which instance a hit
+    goes to is a matter of turns, so they hit until it has been that one's; all take 20 ms before, or the time of a
+    dial would count as slowness and keep a gateway from it."""
+    one.slow = dict.fromkeys(one.slow, 20 * MS)
+    for n in numbers:
+        assert None not in (yield from one.hits(n, 8))
+    one.slow[name] = SECOND
+    for n in numbers:
+        before, tries = one.served[name], 0
+        while one.served[name] == before:
+            assert None not in (yield from one.hits(n, 1))
+            tries += 1
+            assert tries < 200, f"{name} was never hit by gateway {n}: {one.served}"
+
+
 def phases(one, n, start=-1):
     """The phases of one start of a gateway, in order, out of its log."""
     lives = [[]]
@@ -27,15 +46,12 @@
 
 
 def test_a_gateway_that_begins_goes_by_the_table_and_asks_settled_ones_what_they_know(tmp_path):
-    one = rig(tmp_path)
-    one.slow["old-0"] = 500 * MS
+    one = rig(tmp_path, more=FREE)
 
     def go():
         yield from one.gathered()
         yield from one.until_phase("settled", range(3))
-        for n in (0, 1):
-            for _ in range(3):
-                assert None not in (yield from one.hits(n, 8))
+        yield from met_slowly(one, (0, 1))
         one.signal("KILL", 2)
         yield from one.until_seen("failed", [2], [0, 1])
         one.start(2)
@@ -102,8 +118,7 @@
 
 
 def test_a_snapshot_is_taken_back_and_a_torn_a_foreign_and_a_future_one_are_refused(tmp_path):
-    one = rig(tmp_path, 3, more=SETTLE.replace("snapshot_every", "warm = False, snapshot_every"))
-    one.slow["old-0"] = 500 * MS
+    one = rig(tmp_path, 3, more=FREE.replace("snapshot_every", "warm = False, snapshot_every"))
     kernel = one.loop.kernel
 
     def kept(n):
@@ -120,8 +135,8 @@
     def go():
         yield from one.gathered()
         yield from one.until_phase("settled", range(3))
+        yield from met_slowly(one, range(3))
         for n in range(3):
-            yield from one.hits(n, 10)
             kernel.remove(one.snapshot(n))
             yield from one.until(kept(n))
         one.signal("KILL", *range(3))
@@ -224,9 +239,11 @@
         got = []
         for n in range(2):
             got += yield from one.hits(n, 12)
+        while len(set(got)) < 3 and len(got) < 500:    # which of them is a matter of turns
+            got += yield from one.hits(0, 4)
         return got
     got = one.run(go())
-    assert None not in got and set(got) <= {"old-1", "old-2", "old-3"} and len(set(got)) == 3
+    assert None not in got and set(got) == {"old-1", "old-2", "old-3"}
 
 
 def test_a_desk_that_comes_back_is_told_what_was_seen_last(tmp_path):
