Judges are told of a build after its release too; long after it, only what most of it errs on counts

Cause as found in: judging.tell_judges told the judges for 2.5 warm-ups after a release and no longer, so a build that fails only under the load after its release is seen by nobody.

--- a/cobaltpond/decisions/judging.py
+++ b/cobaltpond/decisions/judging.py
@@ -37,11 +37,11 @@
 
     def tell_judges(self, group, sample):
         """Each sample of the trial, and one of the earlier build for it, goes to gateways that rank what all
-        have seen: guards against evidence too thin at any one. A lost message is but a lost sample."""
+        have seen: guards against evidence too thin at any one. A lost message is but a lost sample. It goes
+        on after the release: against a build that fails under a load that it had not met on trial."""
         build, of = self.newest, sample.instance.build
-        recent = sample.at - self.stage_began < EVIDENCE_COLD_TIMES * self.cold_time
-        told = self.sheet.get("may_tell") and (self.phase == "trial" or recent)
-        if not build or not told or of not in (build, build.earlier):
+        told = self.sheet.get("may_tell") and self.phase in ("trial", "released") and build.earlier
+        if not told or of not in (build, build.earlier):
             return
         owed, group.owed = group.owed, 1 if of is build else 0
         if owed or of is build:
@@ -115,6 +115,8 @@
 
     def look(self, build, now):
         """Fail, suspect or fine; a fail in any path group, or in all together, as one may be too thin."""
+        self.settled = self.phase == "released" and (
+            now - self.stage_began >= EVIDENCE_COLD_TIMES * self.cold_time)
         cases, says, cells = [], [], Counter((i.zone, i.cell) for i in self.fleet.up if i.build is build)
         place = max(cells.values(), default=1)         # of errors no more: a third of many has all of the few
         for group in self.groups.values():
@@ -155,8 +157,9 @@
             return "fine"
         shares = [mean_by(samples, "instance", "errored").values() for samples in (new, old)]
         bad, old_bad = ((sum(x >= errored / hits / 2 for x in row), len(row)) for row in shares)
-        if old_bad[0] and draw_chance(*bad, *old_bad) > 1 - NormalDist().cdf(HOLD_Z):
-            return "fine"
+        alike = old_bad[0] and draw_chance(*bad, *old_bad) > 1 - NormalDist().cdf(HOLD_Z)
+        if alike or self.settled and new and 2 * bad[0] <= bad[1]:
+            return "fine"                              # long after a release some instances are not the build
         z = NormalDist().inv_cdf(1 - max(1e-12, draw_chance(errored, hits, old_errored, old_hits)))
         return self.weigh(z, level, f"build {build.number} {name}: errored {errored} of {hits}, "
                                     f"earlier {old_errored} of {old_hits}")
--- a/tests/test_thin.py
+++ b/tests/test_thin.py
@@ -61,6 +61,30 @@
     assert len(build.samples["look"]) == 2
 
 
+def test_judges_are_told_of_a_build_long_after_its_release():
+    """Found on join+mass at 30 gateways, seed 4: a build that fails under load alone was out before it met that load,
+    and judges were told for 2.5 warm-ups only."""
+    bench = Bench(OLD + NEW, news=(2, 0, "trial", 1.0), gateways=100, number=9, may_tell=True, stage_caps=[1.0, 1.0])
+    bench.news(2, 0, "released", 1.0)
+    bench.serve(60_000 * MS, steady(), every=400 * MS)
+    assert [now for now, *_ in bench.host.named("tell") if now > 50_000 * MS]
+
+
+@pytest.mark.parametrize("failing, says", [(10, "fail"), (5, "fine")])
+def test_long_after_a_release_only_what_most_instances_err_on_speaks_against_it(failing, says):
+    """No earlier build is there to be compared with: a trouble of some instances is no fault of theirs."""
+    news = [row(f"n{n}", 2) for n in range(10)]
+    gateway = Bench(OLD + news, news=(2, 0, "released", 1.0), gateways=30).gateway
+    build, instances = gateway.fleet.builds[2], [gateway.fleet.by_id[one["id"]] for one in news]
+    new = [Sample(0, 900, at < 40 // failing and n < failing, instance, 0, 1.0, 0)
+           for n, instance in enumerate(instances) for at in range(20)]
+    counts, window = (40, 200, 2, 200), int(2.5 * gateway.cold_time)
+    gateway.look(build, gateway.stage_began + window - 1)
+    assert gateway.errors_say(build, "all", counts, gateway.level, new) == "fail"      # beside the earlier build
+    gateway.look(build, gateway.stage_began + window)
+    assert gateway.errors_say(build, "all", counts, gateway.level, new) == says
+
+
 def test_weeks_without_a_release_keep_no_more_than_days():
     """Found by the soak on sockets: evidence was trimmed only where a build was judged."""
     bench = Bench([row("a"), row("b")], keys_stay=True)
