A report of load counts for the shortest target; then the mean of its zone stands for it

Cause: choosing.crowding goes by instance.others, the last report, however old. A gateway of 192 hears from an instance every 20 s. Where probes are cheap they freshen what is compared; at three times the price hardly any are sent.

Change: a report counts for the shortest target latency of the settings, then the running mean of the reports of its zone stands for it.

--- a/cobaltpond/decisions/choosing.py
+++ b/cobaltpond/decisions/choosing.py
@@ -27,11 +27,16 @@
             saved = instance.tokens % 1 if self.thin else min(1.0, instance.tokens)
             instance.tokens = saved + part * instance.warmth(now)
 
+    def reported(self, instance, inflight):
+        instance.others = max(0.0, inflight - instance.out)    # of other gateways; its mean by zone
+        mean = self.load.get(instance.zone, instance.others)
+        self.load[instance.zone] = mean + (instance.others - mean) * 0.1
+
     def learn(self, instance, group, ending, took, report, now):
         if ending in ("ok", "error", "full"):
             instance.heard_at = now
         if "inflight" in report:
-            instance.others = max(0.0, report["inflight"] - instance.out - 1)
+            self.reported(instance, report["inflight"] - 1)
         if ending == "ok":
             self.fill_cold_budget(now)
             group.usual += (took - group.usual) * (0.05 if group.usual else 1)
@@ -107,11 +112,10 @@
             return False
         kept = self.kept_keys.get(hit.key)
         lives = kept and kept is self.newest and self.phase in ("trial", "released")
+        barred = lives and instance.build.number < kept.number
         if kept is not instance.build and not self.spares(hit.key, instance.build):
             return False
-        if lives and instance.build.number < kept.number:
-            return False
-        if not self.exposure_allows(instance.build, group, now):
+        if barred or not self.exposure_allows(instance.build, group, now):
             return False
         return not self.sheet.get("paced") or self.host.reaches(instance.id)
 
@@ -122,8 +126,11 @@
         return cap is None or lot(build.number, key) < cap * 2**48
 
     def crowding(self, instance, now):
-        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs."""
-        lean = self.sheet.get("crossing_price", 0) * 25 if instance.zone != self.sheet.get("zone") else 0
+        """How long a hit would wait there, in hits; another zone counts as fuller by what crossing costs.
+        What a report older than the shortest target tells of has ended: the zone's mean stands for it."""
+        lean = self.sheet.get("crossing_price", 0) * 25 * (instance.zone != self.sheet.get("zone"))
+        old = now - instance.heard_at > self.shortest
+        load = self.load.get(instance.zone, 0) if old else instance.others
         pace = min(10.0, instance.pace) if instance.pace > 1.5 else 1.0
         if instance.build.condemned:
             lean += CONDEMNED_LEAN
@@ -132,7 +139,7 @@
             lean -= (TRIAL_LEAN + TRIAL_LEAN * TRUST_LEAN * self.trusted) / max(TRIAL_LEAN, self.gateways)
         warmth = instance.warmth(now)
         lean, pace = (lean - COLD_LEAN * (warmth < 1), pace) if self.thin else (lean, pace / warmth)
-        return (instance.out + instance.others + 1) * pace + lean
+        return (instance.out + load + 1) * pace + lean
 
     def on_recalled(self, now, rows, keys):
         """What settled gateways, or our own former life, knew of instances: none looks better by it than
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -34,13 +34,12 @@
         self.taken = Ledgers(runsheet.get("exposure_window", SECOND))
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
-        self.began = now
+        self.began, self.given_up, self.load = now, Counter(), {}  # hits given up, by why; load, by zone
         self.said, self.fresh = "fine", False          # last verdict; is there evidence to look at?
         self.trusted = self.settled = False            # nothing against it; long released, nothing beside it
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
-        self.given_up = Counter()                      # hits given up, by why
         self.admitted_cut, self.late = now, 0.0        # when last cut; share of answers that came late
         self.list_heard, self.list_asked, self.list_wait = now, now - 1, 1    # ask at once
         self.cold_time = runsheet.get("cold_time", 0)
@@ -128,7 +127,7 @@
         if instance is None or ending != "ok":
             return
         instance.heard_at = now
-        instance.others = max(0.0, report.get("inflight", instance.others + instance.out) - instance.out)
+        self.reported(instance, report.get("inflight", instance.others + instance.out))
         for hit in [h for h in self.held.values() if instance in h.asked and instance not in h.free]:
             hit.free.append(instance)
             self.place(hit, now)
