--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -2,7 +2,7 @@
 import json
 
 import pytest
-from pgworld import PgWorld, answering, exchanging, good, row, statement, tag_of, told
+from pgworld import SETTINGS, PgWorld, answering, exchanging, good, row, statement, tag_of, told
 
 from cobaltpond.edge.discovery import ANSWER, WATCH, Listed
 from cobaltpond.loop import Deadline, Sleep
@@ -151,3 +151,45 @@
     given_up = world.edge.host.decisions.given_up
     assert sum(given_up.values()) == 2 and set(given_up) <= {
         "forwards used up", "no place that fits", "late after a forward", "no time"}
+
+
+def test_a_further_attempt_tells_its_instance_at_most_what_is_left_to_the_client():
+    """The first one takes 300 ms to fail, the dial of the next 150 ms more: no more than the rest is told."""
+    def on_query(world, connection, text):
+        if len(world.got) == 1:
+            yield Sleep(300_000)
+            yield from connection.write(pg.error("XX000", "no") + pg.READY)
+        else:
+            yield from connection.write(good(text))
+
+    def before_welcome(world):
+        world.dials = getattr(world, "dials", 0) + 1
+        if world.dials > 1:
+            yield Sleep(150_000)
+    world = PgWorld(*[exchanging(on_query, before_welcome)] * 2, known=True)
+    assert world.run(world.ask(statement(1, left=1200))) == [OK]
+    first, further = (int(text.split(b",d=")[1].split()[0]) for text in world.got)
+    assert 1000 < first <= 1200 and 0 < further <= 1200 - 300 - 150
+
+
+def test_commands_that_wait_behind_an_open_one_are_not_sent_on_once_their_client_has_gone():
+    """They wait for their first attempt when the connection is closed; the open one is answered only then."""
+    def on_query(world, connection, text):
+        if len(world.got) == 1:
+            yield from world.until(lambda: world.left)
+        yield from connection.write(good(text))
+    world = PgWorld(exchanging(on_query), exchanging(on_query), known=True, settings={
+        "policyLimits": {**SETTINGS["policyLimits"], "mayCancel": False}})
+    world.left = False
+
+    def go():
+        client = yield from world.connect()
+        yield from client.send(*(statement(n) for n in range(1, 6)), start=True)
+        yield from world.until(lambda: world.got)
+        client.connection.close()
+        yield from world.until(lambda: not world.edge.door.clients)
+        world.left = True
+        yield from world.until(lambda: not world.edge.host.hits)
+        return (yield from world.ask(statement(9)))
+    assert world.run(go()) == [OK]
+    assert [text[text.find(b"id=") + 3:][:16] for text in world.got] == [b"%016x" % n for n in (1, 9)]
