--- a/bench/small_days.py
+++ b/bench/small_days.py
@@ -5,8 +5,8 @@
 Each play's JSON and text stay in the folder; one that is there already is not played again. Of the gate it holds what a
 single play tells: rules, fault, the shares of the day, its classes and tenants, restarts within 10 s, what was sent on
 for clients that had gone. What the late-seeing policy serves in each third is not told; three tenths of what it serves
-in the whole day stand for it (the page asks a fifth of the third; three tenths, as it asked before, are the stricter). A play is ended by its own process id if it takes too long. Figures are of simulated
-servers.
+in the whole day stand for it (the page asks a fifth of the third since it was renewed; what it asked before is the
+stricter). A play is ended by its own process id if it takes too long. Figures are of simulated servers.
 """
 import argparse
 import json
