--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -35,8 +35,7 @@
         self.newest, self.stage, self.phase, self.cap, self.stage_began = None, 0, "released", 1.0, now
         self.cast, self.cast_at, self.cast_answer, self.held_time, self.looked = None, 0, "ok", 0, now
         self.began, self.given_up, self.load = now, Counter(), {}  # hits given up, by why; load, by zone
-        self.said, self.fresh = "fine", False          # last verdict; is there evidence to look at?
-        self.trusted = self.settled = False            # nothing against it; long released, nothing beside it
+        self.said, self.fresh, self.trusted, self.settled = "fine", False, False, False    # last verdict
         self.turn, self.due, self.kept_keys = "", inf, {}    # last id chosen; next wake-up; key -> build
         self.living, self.own, self.shut = None, deque(maxlen=REFERENCE * LEAST), None   # by membership
         self.admitted, self.shy, self.blame = 1.0, 0.0, {}       # shares: hits let in; no answers; errors
--- a/tests/test_thin.py
+++ b/tests/test_thin.py
@@ -85,6 +85,21 @@
     assert gateway.errors_say(build, "all", counts, gateway.level, new) == says
 
 
+@pytest.mark.parametrize("failing, says", [(10, "fail"), (5, "fine")])
+def test_a_judge_that_has_restarted_since_the_release_says_what_most_instances_err_on(failing, says):
+    """Found on roll+mass at 30 gateways, seed 8: both judges were restarted, had no record of the earlier build, which
+    had gone, and found nothing against one that failed a sixth of its hits at nearly all instances."""
+    news = [row(f"n{n}", 2) for n in range(10)]
+    gateway = Bench(news, news=(2, 0, "released", 1.0), gateways=30).gateway
+    build, instances = gateway.fleet.builds[2], [gateway.fleet.by_id[one["id"]] for one in news]
+    new = [Sample(0, 900, at < 40 // failing and n < failing, instance, 0, 1.0, 0)
+           for n, instance in enumerate(instances) for at in range(20)]
+    gateway.settled = True
+    assert gateway.errors_say(build, "all", (40, 200, 0, 0), gateway.level, new) == says
+    gateway.settled = False                            # the earlier build's record may still come
+    assert gateway.errors_say(build, "all", (40, 200, 0, 0), gateway.level, new) == "fine"
+
+
 def test_weeks_without_a_release_keep_no_more_than_days():
     """Found by the soak on sockets: evidence was trimmed only where a build was judged."""
     bench = Bench([row("a"), row("b")], keys_stay=True)
