An agent whose watches come as nonsense is asked with pauses that grow

Seen: the test of silent watches failed once of a hundred runs beside other work (40 calls in 300 ms, under 40 wanted), and made 34 on an idle machine in its case byte by byte. Cause: its stand-in dripped bytes that are no HTTP, so that each watch broke at once; Discovery.follow reset its backoff after each whole list, and so asked for list and watch in turn every 20 ms for good.

Change: only a watch that came whole resets the backoff. The case byte by byte is now a drip that is HTTP (a body that never ends); nonsense is a case of its own, and all have to stay under 15 calls in 300 ms (40 before).

Result: nonsense red without the change, green with it; the five others green with and without.

--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -110,7 +110,8 @@
                     # what may lie between two calls. Guards against old versions for ever, and a loop without pauses
                     version = None
                     yield Sleep(PAUSE)
-                backoff.reset()
+                if before is not None:                 # a whole list alone is no sign that watches come whole again
+                    backoff.reset()
             except (*FAILED, TimedOut) as trouble:
                 self.counts["errors"] += 1
                 self.log.warning("discovery", why=f"{type(trouble).__name__}: {trouble}"[:200])
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -109,7 +109,9 @@
 
 # --- silence ---
 
-def drip(connection):
+def drip(connection, head):
+    """Each byte comes in time, the whole never."""
+    yield from connection.write(head)
     while True:
         yield from connection.write(b" ")
         yield Sleep(20 * MS)
@@ -119,7 +121,8 @@
     "at once": lambda connection: Sleep(60_000 * MS),
     "after the head": lambda connection: connection.write(HEAD + b"content-length: 90\r\n\r\n"),
     "in the body": lambda connection: connection.write(HEAD + b'content-length: 90\r\n\r\n{"seq": 9, "wh'),
-    "byte by byte": lambda connection: drip(connection)}
+    "byte by byte": lambda connection: drip(connection, HEAD + b"content-length: 100000\r\n\r\n"),
+    "nonsense": lambda connection: connection.write(b"nonsense\r\n")}
 
 
 @pytest.mark.parametrize("how", [*SILENT, "old versions"])
@@ -154,7 +157,8 @@
         yield Sleep(300 * MS)
         return took, len(calls) - count
     took, more = world.run(go())
-    assert took < 600 * MS and more < 40               # and it is not asked without a pause
+    # nor is it asked without pauses that grow: a watch and a whole list each 50 to 100 ms, in 300 ms
+    assert took < 600 * MS and more < 15
 
 
 def test_what_is_told_right_after_an_early_answer_is_known_within_the_grace_of_drains():
@@ -212,7 +216,7 @@
     assert max(world.run(go())) < 250 * MS
 
 
-@pytest.mark.parametrize("how", list(SILENT))
+@pytest.mark.parametrize("how", [how for how in SILENT if how != "nonsense"])
 def test_a_feed_that_says_nothing_more_is_opened_anew(how, monkeypatch):
     monkeypatch.setattr(platform, "SILENCE", 300 * MS)
     world, opened = PgWorld(answering(lambda text, _: good(text)), tmp=None), []
@@ -225,8 +229,7 @@
         if len(opened) > 1:
             yield from connection.write(HEAD + b"transfer-encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line))
         elif how == "byte by byte":
-            yield from connection.write(HEAD + b"transfer-encoding: chunked\r\n\r\nffff\r\n")
-            yield from drip(connection)
+            yield from drip(connection, HEAD + b"transfer-encoding: chunked\r\n\r\nffff\r\n")
         elif isinstance(wait := SILENT[how](connection), Sleep):
             yield wait
         else:
