--- a/cobaltpond/decisions/choosing.py
+++ b/cobaltpond/decisions/choosing.py
@@ -54,8 +54,7 @@
             self.admitted = min(1.0, self.admitted + ADMIT_STEP)
         elif ending in ("ok", "timeout", "full"):      # a failing instance or a lost dial is no jam
             self.jammed(now - took, now)
-        fault = ending not in ("ok", "timeout")        # a full one may be draining unknown to our list
-        instance.faults += (fault - instance.faults) * 0.3
+        instance.faults += ((ending not in ("ok", "timeout")) - instance.faults) * 0.3  # full: it may drain
         if ending == "ok" and instance.faults < 0.3:
             instance.bench_time = 0
         self.shy += ((ending == "unreachable") - self.shy) * 0.1
