The platform's tallies alone say nothing where the earlier build's record is lost

Change: only where samples with their instances are there, of which more than half must fail. One assertion, red without it.

--- a/cobaltpond/decisions/judging.py
+++ b/cobaltpond/decisions/judging.py
@@ -153,7 +153,7 @@
         """The exact rank test of errors, against the earlier build's whole record: none ranks as a quick
         success. If that one fails too, failing instances are counted first: against a failing place."""
         errored, hits, old_errored, old_hits = counts
-        old_hits = old_hits or self.settled * hits     # no record: a judge that restarted since the release
+        old_hits = old_hits or (hits if self.settled and new else 0)     # no record: a judge that restarted
         if hits < self.least or errored < LEAST_ERRORED or errored * old_hits <= 2 * old_errored * hits:
             return "fine"
         shares = [mean_by(samples, "instance", "errored").values() for samples in (new, old)]
--- a/tests/test_thin.py
+++ b/tests/test_thin.py
@@ -94,7 +94,8 @@
     build, instances = gateway.fleet.builds[2], [gateway.fleet.by_id[one["id"]] for one in news]
     new = [Sample(0, 900, at < 40 // failing and n < failing, instance, 0, 1.0, 0)
            for n, instance in enumerate(instances) for at in range(20)]
-    gateway.settled = True
+    gateway.settled = True                             # of what the platform counts no instance is known
+    assert gateway.errors_say(build, "platform", (60, 100_000, 0, 0), gateway.strict) == "fine"
     assert gateway.errors_say(build, "all", (40, 200, 0, 0), gateway.level, new) == says
     gateway.settled = False                            # the earlier build's record may still come
     assert gateway.errors_say(build, "all", (40, 200, 0, 0), gateway.level, new) == "fine"
