--- a/cobaltpond/decisions/judging.py
+++ b/cobaltpond/decisions/judging.py
@@ -40,8 +40,8 @@
         have seen: guards against evidence too thin at any one. A lost message is but a lost sample. It goes
         on after the release: against a build that fails under a load that it had not met on trial."""
         build, of = self.newest, sample.instance.build
-        told = self.sheet.get("may_tell") and self.phase in ("trial", "released") and build.earlier
-        if not told or of not in (build, build.earlier):
+        told = self.sheet.get("may_tell") and self.phase in ("trial", "released")
+        if not told or not build or not build.earlier or of not in (build, build.earlier):
             return
         owed, group.owed = group.owed, 1 if of is build else 0
         if owed or of is build:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -225,3 +225,13 @@
     bench = Bench(OLD)
     bench.run(3_000 * MS)
     assert len(bench.host.named("wake")) <= 2
+
+
+def test_what_goes_out_before_the_first_news_is_no_evidence_and_no_fault():
+    """Found by a drawn day in which the desk had lost its state: nobody had told a gateway of any build."""
+    bench = Bench(OLD, may_tell=True, gateways=100, stage_caps=[1.0, 1.0])
+    bench.gateway.newest = None                        # as it is until the first news
+    for ending in ("ok", "error"):
+        bench.hit()
+        bench.end(bench.host.open[-1], ending)
+    assert not bench.host.named("tell") and bench.gateway.fleet.builds[1].samples
