The instance to compare a lone probe with is added without a list of its own: a pure move

Need: the line in rules.place was more complicated than need be. Change: the next in turn is added as it is, none left out where the least is taken.

--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -161,8 +161,8 @@
         if self.asks(hit, now):
             return
         free, hit.asked, hit.free = [i for i in hit.free if self.fits(hit, i, now)], [], []
-        free += [i for i in [self.pick(hit, now)] if i] if len(free) < 2 else []    # two to compare
-        instance = min(free, key=lambda i: self.crowding(i, now), default=None)
+        free += [self.pick(hit, now)] if len(free) < 2 else []         # two to compare
+        instance = min(filter(None, free), key=lambda i: self.crowding(i, now), default=None)
         self.move(hit, State.HELD)
         if instance is None:
             return self.wake_by(now + self.tick, now)
