--- a/review/rig.py
+++ b/review/rig.py
@@ -464,7 +464,7 @@
                 stderr=log,
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
             )
-        self.record.add(f"started the gateway: {run}")
+        self.record.add(f"started the gateway: {run}; seed {self.configuration['seed']}")
 
     async def ready(self) -> None:
         """Waits until the gateway has answered an empty query."""
