An empty query ahead of each statement on a kept connection keeps late second answers apart

On the same path a second refusal that came late was taken for the refusal of a mutating request that was running: it was sent again and ran twice.

Cause: answers carry no identifier, and ForwardAttempt.exchange took the first complete one on a kept connection. Only time kept a second answer to the earlier statement away: 50 ms of rest on the gateway's clock and a look whether anything lay on the connection (EndpointPool.take_idle, acquire). When the network or a process is held up meanwhile, both pass.

Change: BARRIER_QUERY, an empty query, is written ahead of the statement in the same write. Instances answer it at once and do nothing, and answers come in order: what precedes its answer belongs to an earlier statement, what follows is our own. The surplus is skipped within a bound, not kept, and the connection closed after the answer. A fatal error ahead of the answer ends the session before the statement is read, so it counts as the result, as before. `figures` has surplus_idle and surplus_skipped. Requests, repeated attempts and probes share the function.

--- a/bench/mixed/postgres.py
+++ b/bench/mixed/postgres.py
@@ -117,7 +117,9 @@
             return  # the gateway has closed the connection
 
     def reply(self, statement: bytes) -> bytes:
-        """The answer to one statement."""
+        """The answer to one statement; an empty one does nothing."""
+        if statement == b"\0":
+            return message(b"I", b"") + READY
         if statement.startswith(b"SHOW"):
             return one_value(b"inflight=1", b"SHOW")
         self.server.statements += 1
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -4,6 +4,9 @@
 The response is buffered until it is complete, so another forward can always follow a failed one. Whether a
 failed forward may have run depends on whether the last byte of its statement was written: see
 `gateway/forward_results.py`.
+
+On a kept connection an empty query is written ahead of the statement. What arrives before its response is a
+late duplicate of an earlier response and is skipped: see `wire/pg.py`, `BarrierResponse`.
 """
 
 from cobaltpond.gateway.endpoints import InstanceEndpoint, NoConnectionError
@@ -46,6 +49,7 @@
     def __init__(self, loop, endpoints, is_current):
         self.loop, self.endpoints, self.is_current = loop, endpoints, is_current
         self.result_counts = dict.fromkeys(FORWARD_RESULTS, 0)
+        self.surplus_responses = 0  # skipped ahead of the response to a later query
 
     def run_forward(
         self, hit, number: int, endpoint: InstanceEndpoint, timeout: int, send_within: int | None, on_result
@@ -114,6 +118,7 @@
             if parser is not None and self.fully_written:
                 # A response to SHOW carries the gauges in its row; responses to hits carry them beside the
                 # row.
+                self.forwards.surplus_responses += parser.surplus_responses
                 report = pg.parse_gauges(parser.shown_value if self.tag == SHOW_TAG else parser.gauges)
             if result_key == "answer" and deliver is not None and is_wanted():
                 hit_final = True
@@ -143,14 +148,14 @@
             except NoConnectionError as error:
                 return str(error)
             parser = self.connection.parser
-            parser.expect(self.tag)
+            parser.expect(self.tag, behind_barrier=reused)
             time_left_ms = max(1, (self.started_at + self.timeout - self.loop.now()) // 1000)
+            data = pg.query_message(self.statement(time_left_ms))
+            if reused:
+                data = pg.BARRIER_QUERY + data
             try:
-                if (
-                    failure_key := (
-                        yield from self.send(pg.query_message(self.statement(time_left_ms)), is_wanted)
-                    )
-                ) is not None:
+                failure_key = yield from self.send(data, is_wanted)
+                if failure_key is not None:
                     return failure_key
                 break
             except ConnectionLostError:
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -187,6 +187,8 @@
                 given_up=self.host.decisions.given_up,
                 admitted=round(self.host.decisions.admitted_share, 2),
                 endings={k: v for k, v in self.forwards.result_counts.items() if v},
+                surplus_idle=self.endpoints.surplus_closes,
+                surplus_skipped=self.forwards.surplus_responses,
             )
 
 
--- a/cobaltpond/gateway/endpoints.py
+++ b/cobaltpond/gateway/endpoints.py
@@ -49,6 +49,8 @@
         self.handshake = handshake
         self.connection_limit = connection_limit
         self.open_count = 0
+        # idle connections that were closed because their instance had sent something that answers no request
+        self.surplus_closes = 0
         # `recovery.rate_limiter.DialRateLimiter`, None where the rate of dials is not limited
         self.dial_limiter = None
 
@@ -142,13 +144,16 @@
         An idle connection is checked before it is handed out, since the instance may have closed it
         meanwhile. A close between this check and the first byte is detected by the write, see `forwards.py`.
         A connection is not reused before it has been idle for `rest_time`: an instance may send a second
-        response to the earlier hit a little later, which would be taken for the response to the next one.
+        response to the earlier hit a little later. One that arrives after the check, because the network or a
+        process was held up, is for the protocol to tell from the response to the next hit: see `forwards.py`.
         """
         endpoint.reserved = max(0, endpoint.reserved - 1)
         while (connection := self.take_idle(endpoint)) is not None:
             try:
-                if connection.read_now(1) is None:
+                data = connection.read_now(1)
+                if data is None:
                     return connection, True
+                self.surplus_closes += len(data)
             except ConnectionLostError:
                 pass
             self.close(endpoint, connection)
--- a/cobaltpond/wire/pg.py
+++ b/cobaltpond/wire/pg.py
@@ -13,10 +13,13 @@
 MAX_VALUE_BYTES = 64 << 10  # largest value that the platform allows
 MAX_QUERY_BYTES = 2 * MAX_VALUE_BYTES + 4096  # a value in hex, and the statement around it
 MAX_SKIPPED_MESSAGES = 32  # notices and parameter statuses in one response
+MAX_BARRIER_MESSAGES = 64  # messages up to the end of the response to a barrier query
 TLS_REQUEST, GSS_REQUEST, CANCEL_REQUEST = 80877103, 80877104, 80877102
 ENCRYPTION_REFUSED = b"N"  # the answer to a request for encryption
 READY_FOR_QUERY = b"Z\0\0\0\5I"
+READY_STATES = (b"I", b"T", b"E")  # idle, in a transaction, in a failed transaction
 EMPTY_QUERY_RESPONSE = b"I\0\0\0\4" + READY_FOR_QUERY
+FATAL_SEVERITIES = ("FATAL", "PANIC")  # after an error of these the server closes the connection
 _UINT32, _TWO_UINT32 = struct.Struct(">I"), struct.Struct(">II")
 
 
@@ -71,6 +74,10 @@
     return b"Q" + _UINT32.pack(len(statement) + 5) + statement + b"\0"
 
 
+# An empty query, written ahead of the statement on a kept connection: see `BarrierResponse`.
+BARRIER_QUERY = query_message(b"")
+
+
 class ClientMessageParser:
     """Parses what a client sends.
 
@@ -163,25 +170,63 @@
         return length, ("startup", values)
 
 
+class BarrierResponse:
+    """Recognizes the response to `BARRIER_QUERY` and skips what arrives ahead of it.
+
+    Responses carry no identifier, but they arrive in the order of the queries. A duplicate of an earlier
+    response that arrives late, however late, therefore precedes the response to the barrier, and the response
+    to the statement written behind the barrier follows it. The response is EmptyQueryResponse and
+    ReadyForQuery; some servers send ReadyForQuery alone. Nothing that is skipped is kept.
+    """
+
+    def __init__(self):
+        self.message_count = 0
+        self.surplus_responses = 0
+        self.in_surplus_response = False
+        self.has_empty_response = False
+        self.ended = False
+
+    def handle_message(self, kind: int, body: bytes) -> None:
+        """Handles one complete message. Raises PgProtocolError."""
+        self.message_count += 1
+        if self.message_count > MAX_BARRIER_MESSAGES:
+            raise PgProtocolError("08P01", "too many messages ahead of the response to an empty query")
+        if kind == 0x5A and body in READY_STATES:  # Z
+            if self.in_surplus_response:
+                self.surplus_responses += 1
+                self.in_surplus_response = False
+            else:
+                self.ended = True
+        elif kind in b"TDCE" and not self.has_empty_response:
+            self.in_surplus_response = True
+        elif kind == 0x49 and not (self.in_surplus_response or self.has_empty_response):  # I
+            self.has_empty_response = True
+        elif kind not in b"SN":
+            raise PgProtocolError("08P01", f"{chr(kind)} out of turn around an empty query")
+
+
 class ServerMessageParser:
     """Parses what an instance sends on one connection: the startup response, then one response after each
     `expect`.
 
     `feed` raises PgProtocolError on bytes that can't be a complete response; the connection is unusable then.
     Bytes after a complete response that don't belong to it leave that response valid, but `is_clean` becomes
-    False: the connection must not be used again.
+    False: the connection must not be used again. The same holds after a surplus response ahead of a barrier.
     """
 
     def __init__(self):
         self.pending, self.ready, self.is_clean, self.started = b"", False, True, False
+        self.surplus_responses = 0
         self.expect(None)
 
-    def expect(self, tag: bytes | None) -> None:
+    def expect(self, tag: bytes | None, behind_barrier: bool = False) -> None:
         """Prepares for the next response.
 
-        `tag`: the command tag of its CommandComplete; None for the startup response.
+        `tag`: the command tag of its CommandComplete; None for the startup response. `behind_barrier`:
+        `BARRIER_QUERY` is written ahead of the query.
         """
         self.tag, self.ready = tag, False
+        self.barrier = BarrierResponse() if behind_barrier else None
         self.has_description = self.has_row = self.is_complete = False
         self.error_code = None
         self.error_text = ""
@@ -207,7 +252,7 @@
     @property
     def has_begun(self) -> bool:
         """Whether part of a response has arrived."""
-        return self.has_description or bool(self.pending)
+        return self.barrier is None and (self.has_description or bool(self.pending))
 
     @property
     def reusable(self) -> bool:
@@ -254,9 +299,24 @@
             raise PgProtocolError("08P01", f"a message of {length} bytes")
         return length
 
+    def handle_message_before_barrier(self, kind: int, body: bytes) -> None:
+        """Handles a message up to the end of the response to the barrier. Raises PgProtocolError."""
+        barrier = self.barrier
+        barrier.handle_message(kind, body)
+        if barrier.surplus_responses:
+            self.is_clean = False
+        if barrier.ended:
+            self.surplus_responses += barrier.surplus_responses
+            self.barrier = None
+
     def handle_message(self, kind, data, offset, end) -> None:
         """Handles the complete message in data[offset:end]. Raises PgProtocolError."""
         body = data[offset + 5 : end]
+        if self.barrier is not None:
+            if not (kind == 0x45 and is_fatal_error(body)):
+                self.handle_message_before_barrier(kind, body)
+                return
+            self.barrier = None  # the session has ended, so neither the barrier nor the query has run
         if kind == 0x44 and self.has_description and not self.has_row and not self.done:  # D
             count = int.from_bytes(body[:2], "big")
             size = int.from_bytes(body[2:6], "big")
@@ -276,7 +336,7 @@
             self.is_complete = True
             self.parts.append(data[offset:end])
         elif kind == 0x5A:  # Z
-            if body not in (b"I", b"T", b"E") or not (self.done or self.tag is None):
+            if body not in READY_STATES or not (self.done or self.tag is None):
                 raise PgProtocolError("08P01", "ready before an answer")
             self.ready = self.started = True
         elif kind == 0x45 and not self.done:  # E
@@ -293,15 +353,23 @@
             raise PgProtocolError("08P01", f"{chr(kind)} out of turn")
 
 
+def error_fields(body: bytes) -> dict[bytes, str]:
+    """Splits the body of an ErrorResponse into its fields by their type."""
+    return {part[:1]: part[1:].decode("latin-1") for part in body.split(b"\0") if part}
+
+
+def is_fatal_error(body: bytes) -> bool:
+    """Returns whether the body of an ErrorResponse says that the session has ended."""
+    fields = error_fields(body)
+    return fields.get(b"V", fields.get(b"S")) in FATAL_SEVERITIES
+
+
 def parse_error(body: bytes) -> tuple[str, str]:
     """Parses an ErrorResponse. Returns (SQLSTATE, message of at most 200 characters).
 
     Raises PgProtocolError without a SQLSTATE.
     """
-    fields = {}
-    for part in body.split(b"\0"):
-        if part:
-            fields[part[:1]] = part[1:].decode("latin-1")
+    fields = error_fields(body)
     code = fields.get(b"C", "")
     if len(code) != 5 or body[-2:] != b"\0\0":
         raise PgProtocolError("08P01", "an error without a code")
--- a/tests/pgworld.py
+++ b/tests/pgworld.py
@@ -106,7 +106,7 @@
 
 
 def query_script(on_query, before_startup_response=None):
-    """Instance script that runs a generator for each query.
+    """Instance script that runs a generator for each query; an empty query is answered at once.
 
     `on_query(world, connection, text)` runs once the query is in `world.received`;
     `before_startup_response(world)` runs at each startup.
@@ -120,6 +120,8 @@
                     if before_startup_response is not None:
                         yield from before_startup_response(world)
                     yield from connection.write(pg.startup_response())
+                elif kind == "query" and not value:
+                    yield from connection.write(pg.EMPTY_QUERY_RESPONSE)
                 elif kind == "query":
                     world.received.append(value)
                     yield from on_query(world, connection, value)
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -185,6 +185,80 @@
     assert server_parser.is_complete and server_parser.value == row(b"value") and not server_parser.reusable
 
 
+def parser_behind_barrier():
+    """The parser of a kept connection on which a barrier and a SELECT have been written."""
+    server_parser = pg.ServerMessageParser()
+    server_parser.feed(pg.startup_response())
+    server_parser.expect(SELECT_TAG, behind_barrier=True)
+    return server_parser
+
+
+@pytest.mark.parametrize("barrier_response", [pg.EMPTY_QUERY_RESPONSE, pg.READY_FOR_QUERY])
+@pytest.mark.parametrize(
+    "surplus",
+    [
+        b"",
+        row(b"earlier") + pg.READY_FOR_QUERY,
+        pg.message(b"S", b"gauges\0util=0.1\0") + row(b"earlier") + pg.READY_FOR_QUERY,
+        pg.error_response("53300", "full") + pg.READY_FOR_QUERY,
+    ],
+)
+def test_response_behind_a_barrier_is_the_one_to_its_own_query_split_at_every_byte(surplus, barrier_response):
+    """Guards against taking any part of a late duplicate for the response, or for its load report."""
+    own = pg.message(b"S", b"gauges\0util=0.9\0") + row(b"own") + pg.READY_FOR_QUERY
+    data = surplus + barrier_response + own
+    for cut in range(1, len(data)):
+        server_parser = parser_behind_barrier()
+        for part in (data[:cut], data[cut:]):
+            server_parser.feed(part)
+        assert server_parser.is_complete and server_parser.value == row(b"own")
+        assert pg.parse_gauges(server_parser.gauges) == {"util": 0.9}
+        assert server_parser.reusable == (not surplus)
+        assert server_parser.surplus_responses == bool(surplus)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        row(b"earlier"),  # its end, and the response to the barrier, are still to come
+        row(b"earlier") + pg.READY_FOR_QUERY,
+        row(b"earlier")[:-3],
+        pg.EMPTY_QUERY_RESPONSE,
+    ],
+)
+def test_connection_that_ends_ahead_of_the_response_has_no_response(data):
+    server_parser = parser_behind_barrier()
+    server_parser.feed(data)
+    assert not server_parser.done and not server_parser.has_begun and not server_parser.value
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xde\xad\xbe\xef noise",
+        row(b"earlier") + pg.EMPTY_QUERY_RESPONSE,
+        pg.message(b"I", b"") + row(b"earlier"),
+        pg.message(b"Z", b"?"),
+        pg.message(b"K", b"\0" * 8),
+        pg.message(b"N", b"notice\0") * (pg.MAX_BARRIER_MESSAGES + 1),
+        (row(b"earlier") + pg.READY_FOR_QUERY) * pg.MAX_BARRIER_MESSAGES,
+    ],
+)
+def test_bytes_ahead_of_a_barrier_that_make_no_sense_end_the_connection(data):
+    """Guards against an instance that keeps a gateway reading for ever, or desynchronizes a connection."""
+    server_parser = parser_behind_barrier()
+    with pytest.raises(pg.PgProtocolError):
+        server_parser.feed(data)
+    assert not server_parser.done and len(server_parser.pending) < 1000
+
+
+def test_fatal_error_ahead_of_the_barrier_ends_the_session():
+    """The statement behind the barrier has not been read, so the error is its result."""
+    server_parser = parser_behind_barrier()
+    server_parser.feed(pg.error_response("57P03", "shutting down", fatal=True))
+    assert server_parser.done and server_parser.error_code == "57P03" and not server_parser.reusable
+
+
 @pytest.mark.parametrize(
     "gauges",
     [
