HTTP gateway: a late response that names another request is skipped (Cobaltpond-Answers)

Over a kept connection a second response that arrives after the next request was written was served to the next client; a second 429 was taken for that of a retry that ran, and the client was told that repeating it is harmless; a probe got the load of an earlier time.

Cause: gateway/forwards.py took the first complete response on a kept connection.

Change: an instance may name the answered request in `Cobaltpond-Answers` (hit, slash, forward number). What names another one is skipped, four at most, the connection is closed afterwards and the field kept from clients. Probes are numbered so that they can be told apart. `/-/status` has `surplus`.

Open: an instance that does not send the field can't be told apart once the network is held up; `rest_time` and the check before each use are all there is, as before (docs/gateway.md).

--- a/cobaltpond/gateway/client_connection.py
+++ b/cobaltpond/gateway/client_connection.py
@@ -11,6 +11,11 @@
 if TYPE_CHECKING:
     from cobaltpond.gateway.frontend import Frontend
 
+# response fields that instances send to the gateway, or that the gateway sets itself
+INSTANCE_FIELDS = frozenset(
+    (b"endpoint-load-metrics", b"cobaltpond-answers", b"cobaltpond-hit", b"cobaltpond-via")
+)
+
 
 class ClientConnection:
     """One client's connection.
@@ -123,9 +128,7 @@
         instance.
         """
         return [
-            *http1.end_to_end_fields(
-                head.fields, {b"endpoint-load-metrics", b"cobaltpond-hit", b"cobaltpond-via"}
-            ),
+            *http1.end_to_end_fields(head.fields, INSTANCE_FIELDS),
             (b"cobaltpond-hit", self.name.encode()),
             (b"cobaltpond-via", endpoint.row["id"].encode()),
         ]
--- a/cobaltpond/gateway/forwards.py
+++ b/cobaltpond/gateway/forwards.py
@@ -5,6 +5,9 @@
 on, the hit is committed to this forward: the timeouts of the forward and of the client no longer apply, the
 forward can't be cancelled, and if the instance breaks off, the client's connection is aborted, so that the
 client sees a truncated response and never takes it for a complete one.
+
+Responses of HTTP/1.1 carry no identifier. An instance can name the request that a response answers in the
+field `Cobaltpond-Answers`; a late duplicate that names another one is skipped.
 """
 
 from cobaltpond.gateway.body_buffer import BodyBuffer, BodyDiscardedError, BodyTruncatedError
@@ -14,18 +17,23 @@
 from cobaltpond.wire import http1, orca
 
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+MAX_SURPLUS_RESPONSES = 4  # skipped in one forward
+# response field in which an instance names the request: the value of `Cobaltpond-Hit`, a slash, that of
+# `Cobaltpond-Forward`
+ANSWERS_FIELD = b"cobaltpond-answers"
 
 
 class Forwards:
     """Runs the forwards and probes of one gateway.
 
     `sender`: the value of the field `Cobaltpond-From`. `result_counts`: how often each key of FORWARD_RESULTS
-    occurred.
+    occurred. `surplus_responses`: how many late duplicates were skipped.
     """
 
     def __init__(self, loop, endpoints: EndpointPool, settings, sender: str):
         self.loop, self.endpoints, self.settings, self.sender = loop, endpoints, settings, sender
         self.result_counts = dict.fromkeys(FORWARD_RESULTS, 0)
+        self.probe_count = self.surplus_responses = 0
 
     def run_forward(
         self,
@@ -70,8 +78,13 @@
         `on_result(result, duration, load_report)` is called exactly once; duration in microseconds.
         """
         began, result_key, head = self.loop.now(), "called off", None
+        self.probe_count += 1
         attempt = ForwardAttempt(
-            self, Probe(self.settings.instances.probe_path), 0, endpoint, self.settings.instances.probe_time
+            self,
+            Probe(self.settings.instances.probe_path),
+            self.probe_count,
+            endpoint,
+            self.settings.instances.probe_time,
         )
         try:
             with Deadline(self.loop, self.settings.instances.probe_time):
@@ -100,7 +113,8 @@
 class ForwardAttempt:
     """One forward while it runs.
 
-    `number`: of this forward among those of its hit. `timeout` and `send_within` in microseconds from now.
+    `number`: of this forward among those of its hit, or of this probe among all. `timeout` and `send_within`
+    in microseconds from now.
     `head`, `body` and `body_size`: the response as far as it is read. `streaming`: the hit is committed.
     """
 
@@ -114,7 +128,8 @@
         self.send_deadline = None if send_within is None else self.loop.now() + send_within
         self.connection, self.writer, self.has_written = None, None, False
         self.head, self.body, self.body_size = None, [], 0
-        self.response_ended = self.streaming = self.begun = False
+        self.response_ended = self.streaming = False
+        self.surplus_count, self.in_surplus_response = 0, False
         limits = http1.MessageLimits(
             head=MAX_RESPONSE_HEAD_BYTES, body=forwards.settings.instances.answer_limit
         )
@@ -227,6 +242,26 @@
         data = yield from self.connection.read()
         return self.parser.feed(data) if data else self.parser.closed(), data == b""
 
+    def answers_other_request(self, head) -> bool:
+        """Returns whether a response names another request than this forward's."""
+        answered = head.get(ANSWERS_FIELD)
+        return answered is not None and answered != f"{self.hit.name}/{self.number}".encode()
+
+    def begin_response(self, head):
+        """Takes a response's head, or begins to skip a response to an earlier request.
+
+        Raises HttpMessageError where the instance sends too many of those.
+        """
+        if not self.answers_other_request(head):
+            self.head = head
+            head.keep_alive = head.keep_alive and not self.surplus_count
+            return
+        self.in_surplus_response = True
+        self.surplus_count += 1
+        self.forwards.surplus_responses += 1
+        if self.surplus_count > MAX_SURPLUS_RESPONSES:
+            raise http1.HttpMessageError(502, "too many responses to earlier requests")
+
     def apply_events(self, events, closed):
         """Applies parser events to the response. A connection with surplus data is not reused."""
         for kind, value in events:
@@ -234,13 +269,15 @@
                 self.head.keep_alive = False
                 return
             if kind == "head":
-                self.head = value
+                self.begin_response(value)
+            elif self.in_surplus_response:
+                self.in_surplus_response = kind != "end"
             elif kind == "body":
                 self.body.append(value)
                 self.body_size += len(value)
             else:
                 self.response_ended = True
-        if closed:
+        if closed and self.head is not None:
             self.head.keep_alive = False
 
     def stream(self):
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -151,6 +151,10 @@
             },
             "host": self.host.counts,
             "endings": {k: v for k, v in self.forwards.result_counts.items() if v},
+            "surplus": {
+                "idle": self.endpoints.surplus_closes,
+                "skipped": self.forwards.surplus_responses,
+            },
             "list": {"revision": self.list_follower.instance_list.revision, **self.list_follower.counts},
             "desk": {
                 **self.desk_client.counts,
