What instances send has a module of its own, wire/pg_responses.py; types of messages have names

Change: ServerMessageParser, BarrierResponse and the parsers of errors and load reports move to wire/pg_responses.py; message types, limits and prefixes are named constants; checks of a row and of a description are functions. ForwardAttempt.exchange is three functions. Tests name the new module and are otherwise the same.

--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -6,13 +6,13 @@
 `gateway/forward_results.py`.
 
 On a kept connection an empty query is written ahead of the statement. What arrives before its response is a
-late duplicate of an earlier response and is skipped: see `wire/pg.py`, `BarrierResponse`.
+late duplicate of an earlier response and is skipped: see `wire/pg_responses.py`, `BarrierResponse`.
 """
 
 from cobaltpond.gateway.endpoints import InstanceEndpoint, NoConnectionError
 from cobaltpond.gateway.forward_results import FORWARD_RESULTS
 from cobaltpond.loop import ConnectionLostError, Deadline, DeadlineExceededError, Writable
-from cobaltpond.wire import pg
+from cobaltpond.wire import pg, pg_responses
 
 USER, DATABASE = "web", "orders"
 REFUSAL_CODES = ("53300",)  # SQLSTATEs by which an instance promises that the hit did not run
@@ -26,7 +26,7 @@
     An instance that accepts the connection and stays silent thereby fails before it has got the hit. Raises
     NoConnectionError.
     """
-    connection.parser = parser = pg.ServerMessageParser()
+    connection.parser = parser = pg_responses.ServerMessageParser()
     try:
         yield from connection.write(pg.startup_message(USER, DATABASE))
         while not parser.ready:
@@ -99,7 +99,9 @@
         self.tag = tag
         self.started_at, self.timeout = forwards.loop.now(), timeout
         self.send_by = None if send_within is None else self.started_at + send_within
-        self.connection, self.partly_written, self.fully_written = None, False, False
+        self.connection = None
+        self.partly_written = False
+        self.fully_written = False
 
     def run(self, is_wanted, deliver, on_result):
         """Runs the forward to its result.
@@ -119,7 +121,9 @@
                 # A response to SHOW carries the gauges in its row; responses to hits carry them beside the
                 # row.
                 self.forwards.surplus_responses += parser.surplus_responses
-                report = pg.parse_gauges(parser.shown_value if self.tag == SHOW_TAG else parser.gauges)
+                report = pg_responses.parse_gauges(
+                    parser.shown_value if self.tag == SHOW_TAG else parser.gauges
+                )
             if result_key == "answer" and deliver is not None and is_wanted():
                 hit_final = True
                 deliver(parser.value)
@@ -138,32 +142,41 @@
             )
 
     def exchange(self, is_wanted):
-        """Sends the statement and reads the response. Returns a key of FORWARD_RESULTS."""
+        """Sends the statement and reads the response. Returns a key of FORWARD_RESULTS.
+
+        A kept connection that breaks before the last byte is written is replaced by another one.
+        """
         endpoints = self.forwards.endpoints
         while True:
             if not is_wanted():
                 return "nothing to send"
             try:
-                self.connection, reused = yield from endpoints.acquire(self.endpoint)
+                self.connection, is_reused = yield from endpoints.acquire(self.endpoint)
             except NoConnectionError as error:
                 return str(error)
-            parser = self.connection.parser
-            parser.expect(self.tag, behind_barrier=reused)
-            time_left_ms = max(1, (self.started_at + self.timeout - self.loop.now()) // 1000)
-            data = pg.query_message(self.statement(time_left_ms))
-            if reused:
-                data = pg.BARRIER_QUERY + data
+            self.connection.parser.expect(self.tag, behind_barrier=is_reused)
             try:
-                failure_key = yield from self.send(data, is_wanted)
-                if failure_key is not None:
-                    return failure_key
-                break
+                failure_key = yield from self.send(self.query_bytes(is_reused), is_wanted)
             except ConnectionLostError:
                 endpoints.close(self.endpoint, self.connection)
                 self.connection = None
-                if not reused:
-                    return "cut while sending"
-        self.fully_written = True
+                if is_reused:
+                    continue
+                return "cut while sending"
+            if failure_key is not None:
+                return failure_key
+            self.fully_written = True
+            return (yield from self.read_response())
+
+    def query_bytes(self, is_reused: bool) -> bytes:
+        """Returns the statement with the time that is left, behind a barrier on a reused connection."""
+        time_left_ms = max(1, (self.started_at + self.timeout - self.loop.now()) // 1000)
+        query = pg.query_message(self.statement(time_left_ms))
+        return pg.BARRIER_QUERY + query if is_reused else query
+
+    def read_response(self):
+        """Reads the response to the statement. Returns a key of FORWARD_RESULTS."""
+        parser = self.connection.parser
         try:
             while not parser.done:
                 data = yield from self.connection.read()
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from pgworld import row, statement
 
-from cobaltpond.wire import pg
+from cobaltpond.wire import pg, pg_responses
 from cobaltpond.wire.statement import INSERT_TAG, SELECT_TAG, PlatformStatement, StatementError
 
 deterministic = settings(derandomize=True, deadline=None, max_examples=150)
@@ -47,23 +47,23 @@
 def test_response_parses_the_same_split_at_every_byte():
     data = pg.message(b"S", b"gauges\0inflight=7,util=0.5\0") + row(b"value") + pg.READY_FOR_QUERY
     for cut in range(len(data) + 1):
-        server_parser = pg.ServerMessageParser()
+        server_parser = pg_responses.ServerMessageParser()
         server_parser.feed(pg.startup_response())
         server_parser.expect(SELECT_TAG)
         for part in (data[:cut], data[cut:]):
             if part:
                 server_parser.feed(part)
         assert server_parser.reusable and server_parser.is_complete and server_parser.value == row(b"value")
-        assert pg.parse_gauges(server_parser.gauges) == {"inflight": 7.0, "util": 0.5}
+        assert pg_responses.parse_gauges(server_parser.gauges) == {"inflight": 7.0, "util": 0.5}
 
 
 def test_show_response_is_read_from_the_row():
-    server_parser = pg.ServerMessageParser()
+    server_parser = pg_responses.ServerMessageParser()
     server_parser.feed(pg.startup_response())
     server_parser.expect(b"SHOW\0")
     assert server_parser.shown_value is None
     server_parser.feed(row(b"util=0.5,inflight=3", b"SHOW") + pg.READY_FOR_QUERY)
-    assert server_parser.is_complete and pg.parse_gauges(server_parser.shown_value) == {
+    assert server_parser.is_complete and pg_responses.parse_gauges(server_parser.shown_value) == {
         "util": 0.5,
         "inflight": 3.0,
     }
@@ -76,7 +76,7 @@
     client_parser.started = started
     events = client_parser.feed(data)
     assert all(kind != "wrong" for kind, _ in events[:-1]) and client_parser.feed(b"") == []
-    server_parser = pg.ServerMessageParser()
+    server_parser = pg_responses.ServerMessageParser()
     server_parser.feed(pg.startup_response())
     server_parser.expect(SELECT_TAG)
     try:
@@ -158,7 +158,7 @@
     ],
 )
 def test_corrupt_response_is_never_complete(data):
-    server_parser = pg.ServerMessageParser()
+    server_parser = pg_responses.ServerMessageParser()
     server_parser.feed(pg.startup_response())
     server_parser.expect(SELECT_TAG)
     with pytest.raises(pg.PgProtocolError):
@@ -178,7 +178,7 @@
     ],
 )
 def test_response_with_trailing_bytes_is_valid_but_its_connection_is_not_reusable(more):
-    server_parser = pg.ServerMessageParser()
+    server_parser = pg_responses.ServerMessageParser()
     server_parser.feed(pg.startup_response())
     server_parser.expect(SELECT_TAG)
     server_parser.feed(row(b"value") + more)
@@ -187,7 +187,7 @@
 
 def parser_behind_barrier():
     """The parser of a kept connection on which a barrier and a SELECT have been written."""
-    server_parser = pg.ServerMessageParser()
+    server_parser = pg_responses.ServerMessageParser()
     server_parser.feed(pg.startup_response())
     server_parser.expect(SELECT_TAG, behind_barrier=True)
     return server_parser
@@ -212,7 +212,7 @@
         for part in (data[:cut], data[cut:]):
             server_parser.feed(part)
         assert server_parser.is_complete and server_parser.value == row(b"own")
-        assert pg.parse_gauges(server_parser.gauges) == {"util": 0.9}
+        assert pg_responses.parse_gauges(server_parser.gauges) == {"util": 0.9}
         assert server_parser.reusable == (not surplus)
         assert server_parser.surplus_responses == bool(surplus)
 
@@ -240,8 +240,8 @@
         pg.message(b"I", b"") + row(b"earlier"),
         pg.message(b"Z", b"?"),
         pg.message(b"K", b"\0" * 8),
-        pg.message(b"N", b"notice\0") * (pg.MAX_BARRIER_MESSAGES + 1),
-        (row(b"earlier") + pg.READY_FOR_QUERY) * pg.MAX_BARRIER_MESSAGES,
+        pg.message(b"N", b"notice\0") * (pg_responses.MAX_BARRIER_MESSAGES + 1),
+        (row(b"earlier") + pg.READY_FOR_QUERY) * pg_responses.MAX_BARRIER_MESSAGES,
     ],
 )
 def test_bytes_ahead_of_a_barrier_that_make_no_sense_end_the_connection(data):
@@ -276,7 +276,7 @@
     ],
 )
 def test_unreadable_gauges_give_an_empty_report(gauges):
-    assert pg.parse_gauges(gauges) == {}
+    assert pg_responses.parse_gauges(gauges) == {}
 
 
 def test_statements_pass_with_only_the_time_limit_changed():
