A connection to an instance is not kept after a fatal error

What callers could see: a mutating request run twice. An instance that answers with a fatal 53300, goes on with ReadyForQuery and sends that error once more, late: ahead of the empty query's answer the copy would be taken for the end of the session, which promises that the statement has not run, while it does. Cause: ServerMessageParser left a connection reusable after an error of severity FATAL or PANIC, after which a server closes. Change: `is_clean` is False after one, so the connection is closed and no late copy of it can follow a statement. Result: test_connection_is_not_reusable_after_a_fatal_error fails without the change.

--- a/cobaltpond/wire/pg_responses.py
+++ b/cobaltpond/wire/pg_responses.py
@@ -200,6 +200,8 @@
             self.ready = self.started = True
         elif kind == ERROR and not self.done:
             self.error_code, self.error_text = parse_error(body)
+            if is_fatal_error(body):
+                self.is_clean = False  # the session has ended
         elif kind in ASYNCHRONOUS_MESSAGES and self.skipped_messages < MAX_SKIPPED_MESSAGES:
             self.skipped_messages += 1
             if kind == PARAMETER_STATUS and body.startswith(GAUGES_PREFIX):
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -259,6 +259,15 @@
     assert server_parser.done and server_parser.error_code == "57P03" and not server_parser.reusable
 
 
+def test_connection_is_not_reusable_after_a_fatal_error():
+    """Guards against taking a duplicate of that error for the result of a later statement."""
+    server_parser = pg_responses.ServerMessageParser()
+    server_parser.feed(pg.startup_response())
+    server_parser.expect(SELECT_TAG)
+    server_parser.feed(pg.error_response("53300", "full", fatal=True) + pg.READY_FOR_QUERY)
+    assert server_parser.done and server_parser.ready and not server_parser.reusable
+
+
 @pytest.mark.parametrize(
     "gauges",
     [
