--- a/cobaltpond/standins/instance.py
+++ b/cobaltpond/standins/instance.py
@@ -8,14 +8,6 @@
 REPEAT_WORK_SHARE = 0.1  # share of its work that a dropped repeat costs
 
 
-def answered_request(head: http1.MessageHead) -> list[tuple[bytes, bytes]]:
-    """Returns the header field that names the answered request; empty where it has no name."""
-    hit, number = head.get(b"cobaltpond-hit"), head.get(b"cobaltpond-forward")
-    if hit is None or number is None:
-        return []
-    return [(b"cobaltpond-answers", hit + b"/" + number)]
-
-
 class IdempotencyKeys:
     """The idempotency keys of tagged hits that a group of instances shares.
 
@@ -126,8 +118,7 @@
                     elif kind == "body":
                         body += len(value)
                     elif head.target.startswith(b"/-/"):
-                        fields = [self.report(), *answered_request(head)]
-                        connection.write_now(http1.response(200, fields, b"ok\n"))
+                        connection.write_now(http1.response(200, [self.report()], b"ok\n"))
                     else:
                         self.start_job(connection, head, job, zone, since)
                 since = read_at
@@ -195,8 +186,7 @@
             return
         if not accepted:
             self.record_event("refused", job)
-            fields = [self.report(), *answered_request(head), (b"cobaltpond-not-run", b"full")]
-            connection.write_now(http1.response(429, fields, b""))
+            connection.write_now(http1.response(429, [self.report(), (b"cobaltpond-not-run", b"full")], b""))
             return
         job_slot[0] = job
         self.schedule()
@@ -221,7 +211,6 @@
         status = 504 if result == "dropped" else 500 if result == "error" else 200
         fields = [
             self.report(),
-            *answered_request(head),
             (b"content-type", b"text/plain"),
             (b"standin-build", b"%d" % self.model.build),
         ]
