--- a/tests/test_late_duplicates.py
+++ b/tests/test_late_duplicates.py
@@ -1,15 +1,19 @@
 """A duplicate response that arrives late on a kept connection must not answer a later query."""
 
+from types import SimpleNamespace
+
 import pytest
 from pgcrossings import MS, policy_limits
 from pgworld import PgWorld, command_tag, outcome_of, query_script, row, statement
 
 from cobaltpond.loop import Sleep
 from cobaltpond.wire import pg
+from cobaltpond.wire.statement import PlatformStatement
 
 CUT_TIME_US = 300 * MS  # longer than the time for which a connection rests after a response
 HOLD_UP_TIME_US = 150 * MS  # how long a gateway may be held up between a check and its write
 EJECTION_TIME_US = 1500 * MS  # longer than an instance that refused gets no request
+ATTEMPT_TIMEOUT_US = 1000 * MS
 LARGE_VALUE_BYTES = pg.MAX_VALUE_BYTES - 16
 
 
@@ -127,8 +131,8 @@
     assert outcome == ("delivered", b"0002") and len(runs_of_second) == 1
 
 
-def test_duplicate_error_is_not_taken_for_the_response_to_a_retry(each_kernel):
-    """Guards against failing a later attempt, which still runs, by the error of an earlier one."""
+def test_duplicate_error_is_not_taken_for_the_response_to_a_later_request(each_kernel):
+    """Guards against failing a request, which still runs, by the error of an earlier one."""
     link = CutLink(error_answer)
     world = PgWorld(link.script)
 
@@ -141,6 +145,27 @@
     assert world.forward_results() == {"server error": 1, "answer": 1}
 
 
+def test_duplicate_refusal_is_not_taken_for_the_response_to_a_repeated_attempt(each_kernel):
+    """Guards against a second attempt of one request that runs and is reported as refused."""
+    link, results, values = CutLink(refusal_answer), [], []
+    world = PgWorld(link.script, known_list=True)
+    hit = SimpleNamespace(
+        statement=PlatformStatement(statement(1, "pay")), final=False, deliver=values.append
+    )
+
+    def go():
+        endpoint = world.edge.endpoints.by_id["s-0"]
+        for number in range(2):
+            yield from world.edge.forwards.run_forward(
+                hit, number, endpoint, ATTEMPT_TIMEOUT_US, None, lambda *result: results.append(result[0])
+            )
+            yield from rest(world)
+
+    world.run(go())
+    assert results == ["full", "ok"] and values == [row(b"0001", b"INSERT 0 1")]
+    assert len(link.statements) == 2 and link.connection_count == 1
+
+
 def test_duplicate_load_report_is_not_taken_for_the_response_to_a_probe(each_kernel):
     """Guards against a probe that reports the load of an earlier time, or of another query."""
     reports = iter([b"util=0.1", b"util=0.9"])
