--- a/review/rig2.py
+++ b/review/rig2.py
@@ -218,11 +218,13 @@
 
     async def start(self):
         """Listens on a free port."""
+        self.writers = set()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = self.server.sockets[0].getsockname()
 
     async def serve(self, reader, writer):
         """Serves one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 answer = await self.answer(*(await read_request(reader)), writer)
@@ -236,6 +238,12 @@
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
+            abort(writer)
+
+    def end(self):
+        """Closes all open connections."""
+        for writer in list(self.writers):
             abort(writer)
 
 
@@ -485,7 +493,9 @@
 
 
 class World:
-    """All parties of one case."""
+    """All parties of one case. `platform_class`: a case may replace it."""
+
+    platform_class = Platform
 
     def __init__(self, name: str, settings: dict, reads: tuple, limits: dict, gateways: int, seed: int):
         random.seed(int(sys.argv[1]) if sys.argv[1:] else seed)
@@ -526,7 +536,7 @@
                 instance = Instance(self, number, build, areas[number % len(areas)])
                 await instance.start()
                 self.instances.append(instance)
-        self.platform = Platform(self, *platform)
+        self.platform = self.platform_class(self, *platform)
         await self.platform.start()
         for gateway in self.gateways:
             await gateway.discovery.start()
