--- a/review/8/case.py
+++ b/review/8/case.py
@@ -47,4 +47,4 @@
 
 
 limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-run(World(__file__, PILETIRING, PILETIRING_READS, limits, 3, seed=8), play)
+run(lambda: World(__file__, PILETIRING, PILETIRING_READS, limits, 3, seed=8), play)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -581,28 +581,45 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(world: World, play):
-    """Plays a case and exits with its verdict; `play(world)` returns a list of breaks."""
+def run(make_world, play):
+    """Plays a case and exits with its verdict.
+
+    `make_world()` returns the parties, `play(world)` a list of breaks. Any error of the test itself, and
+    TERM, end with NOT_RUN: only a list with entries says that the rule is broken.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda loop, context: None)  # connections that the end of the play cuts
-    verdict, text = NOT_RUN, ""
+    verdict, text, world = NOT_RUN, "", None
     try:
+        world = make_world()
         breaks = loop.run_until_complete(asyncio.wait_for(play(world), 110))
-        verdict = BROKEN if breaks else HELD
         for line in breaks[:40]:
             world.record.add(f"BREAK {line}")
         text = f"{len(breaks)} breaks"
-    except CaseError as problem:
-        text = str(problem)
-    except Exception as problem:
+        verdict = BROKEN if breaks else HELD
+    except BaseException as problem:
         text = repr(problem)
-    finally:
-        outcomes = {}
-        for request in world.requests:
-            outcomes[request.outcome] = outcomes.get(request.outcome, 0) + 1
-        name = {HELD: "held", BROKEN: "BROKEN", NOT_RUN: "did not run"}[verdict]
-        line = f"{name}; {text}; outcomes {outcomes}; attempts {len(world.attempts)}"
-        world.record.add(f"verdict: {line}")
-        world.close()
-        print(f"{world.case.name}: {line}", flush=True)
-        os._exit(verdict)  # without the loop's own close, which would wait for each open connection
+    try:
+        if world is not None:
+            verdict = finish(world, verdict, text)
+        else:
+            print(f"did not run; {text}")
+    except BaseException as problem:
+        verdict = NOT_RUN
+        print(f"did not run; {problem!r}")
+    sys.stdout.flush()
+    os._exit(verdict)  # without the loop's own close, which would wait for each open connection
+
+
+def finish(world: World, verdict: int, text: str) -> int:
+    """Ends all processes, writes the record and prints the verdict; returns it."""
+    outcomes = {}
+    for request in world.requests:
+        outcomes[request.outcome] = outcomes.get(request.outcome, 0) + 1
+    name = {HELD: "held", BROKEN: "BROKEN", NOT_RUN: "did not run"}[verdict]
+    line = f"{name}; {text}; outcomes {outcomes}; attempts {len(world.attempts)}"
+    world.record.add(f"verdict: {line}")
+    world.close()
+    print(f"{world.case.name}: {line}")
+    return verdict
