Discovery that answers late is heard: its calls stay open while newer ones begin

Cause: Discovery.follow and whole_list gave up a call for the list after 1 s and a watch 1 s after its wait. The first call that timed out ended the later ones too, and all began anew, ten a second. An answer that takes longer never found its call.

Change: a call ends only when a newer one has been answered, or for a newer one when the bound on open calls is reached. A source that may be silent is still asked every 0.1 s, as an agent that was silent never answers the calls of that time. Of these calls one a second is kept for about 5 s. Once an answer has come late, the next call waits half that time, and at most three are open. So the slower the source, the fewer calls it gets. `figures` has the counts (`discovery`), and "discovery slow" names the response time.

Why it works: an answer is heard if it takes less than about 5 s; the list then known is older by that time and half of it again, under 6 s up to 4 s.

--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -1,22 +1,21 @@
 """Follows the platform's list of instances: one whole list, then one long-polling watch after another."""
 
+from dataclasses import dataclass
+
+from cobaltpond.edge.discovery_calls import CallKind, CallResult, CallTimes, DiscoveryCall, DiscoveryCalls
 from cobaltpond.edge.source_switch import SourceSwitch
-from cobaltpond.loop import Deadline, DeadlineExceededError, Queue, Sleep
-from cobaltpond.rpc import CALL_ERRORS, Backoff, call
+from cobaltpond.loop import DeadlineExceededError
+from cobaltpond.rpc import CALL_ERRORS, Backoff
 from cobaltpond.wire.address import split_address
 from cobaltpond.wire.json_lines import JsonLineError, parse_object
 
 INSTANCE_STATES = {"up": "up", "draining": "draining", "removed": "gone"}
 WATCH_TIME_US = 2_000_000  # how long a watch may wait for a change
-RESPONSE_TIMEOUT_US = 1_000_000  # for a response that doesn't wait for a change
+RESPONSE_TIMEOUT_US = 1_000_000  # for a response that doesn't wait for a change; further calls follow then
 EMPTY_RESPONSE_PAUSE_US = 50_000  # after an early response without a change
-# Both are shorter than the grace period after which a gateway must act on an announced change. While the
-# whole list is requested, a further request is sent every HEDGE_INTERVAL_US until one ends. A working agent
-# runs on this machine and answers at once. An agent that was silent never answers the requests of that time,
-# and whatever it has when it returns counts as announced at once, so waiting for an old request would leave a
-# stale list.
+# Both are shorter than the grace period after which a gateway must act on an announced change: whatever a
+# silent agent has when it returns counts as announced at once.
 HEDGE_INTERVAL_US, MAX_RETRY_DELAY_US = 100_000, 100_000
-HOSTS_PATH = "/discovery/hosts"
 # A source that reports only old versions for this long has lost its state. Any change that it reported late
 # counts as announced by then.
 STALE_SOURCE_TIME_US = 6_000_000
@@ -80,6 +79,22 @@
         return bool(whole), rows
 
 
+@dataclass
+class FollowedSource:
+    """What is known of one source. Times in microseconds of the loop.
+
+    `version`: as the source last reported it, None where the whole list is needed. `retry_at`: no call starts
+    before it unless one is open. `stale_since`: since when the source has reported only old versions.
+    `newest_answered_at`: the latest start of a call that was answered.
+    """
+
+    backoff: Backoff
+    version: int | None = None
+    retry_at: int = 0
+    stale_since: int | None = None
+    newest_answered_at: int = 0
+
+
 class Discovery:
     """Keeps the instance list of the gateway up to date."""
 
@@ -97,7 +112,7 @@
         self.instances = DiscoveredInstances()
         self.has_received = False
         self.source_switch = SourceSwitch(loop, "discovery")
-        self.counts = {"applied": 0, "errors": 0}
+        self.counts = {"applied": 0, "errors": 0, "calls": 0, "given_up": 0}
 
     def apply_response(self, response) -> int:
         """Applies a response and returns its version. Raises JsonLineError."""
@@ -139,91 +154,94 @@
         """Follows one source until cancelled.
 
         After an error, an invalid response or an old version the whole list is fetched again. Each source is
-        asked by the version that it reported itself (None: for the whole list), so that its changes apply on
-        top of every newer version, whichever source reported that.
-        """
-        backoff = Backoff(20_000, MAX_RETRY_DELAY_US, self.loop.kernel.random_seed())
-        version = None
-        stale_since = None
-        while True:
-            requested_at = self.loop.now()
-            target = f"{HOSTS_PATH}?after={version}&wait_ms={WATCH_TIME_US // 1000}"
-            try:
-                if version is None:
-                    status, body = yield from self.whole_list(address)
-                else:
-                    with Deadline(self.loop, WATCH_TIME_US + RESPONSE_TIMEOUT_US):
-                        status, body = yield from call(
-                            self.loop, address, "GET", target, b"", RESPONSE_TIMEOUT_US
-                        )
-                if status != 200:
-                    raise JsonLineError(f"status {status}")
-                previous, version = version, self.apply_response(parse_object(body))
-                self.has_received = True
-                self.source_switch.source_answered()
-                stale_since = (
-                    (self.loop.now() if stale_since is None else stale_since)
-                    if version < self.instances.seq
-                    else None
-                )
-                if stale_since is not None and self.loop.now() - stale_since > STALE_SOURCE_TIME_US:
-                    # Discovery has lost its versions (a restart without state): its list replaces ours.
-                    self.instances.seq, stale_since, version = 0, None, None
-                elif (
-                    previous is not None
-                    and version <= previous
-                    and self.loop.now() - requested_at < WATCH_TIME_US // 2
-                ):
-                    # There is no change, although the watch had time to wait for one: fetch the whole list
-                    # after a pause shorter than the gap that is allowed between two calls. Without this a
-                    # source that repeats an old version is polled in a busy loop, and the stale list is
-                    # never replaced.
-                    version = None
-                    yield Sleep(EMPTY_RESPONSE_PAUSE_US)
-                if previous is not None:  # a whole list alone doesn't prove that watches work again
-                    backoff.reset()
-            except (*CALL_ERRORS, DeadlineExceededError) as error:
-                self.counts["errors"] += 1
-                self.log.warning("discovery", why=f"{type(error).__name__}: {error}"[:200])
-                version = None
-                if self.reports_every_response:
-                    self.host.post_event_first("on_list_error")
-                yield Sleep(backoff.next_delay())
-
-    def whole_list(self, address):
-        """Fetches the whole list with hedged requests and returns (status, body).
-
-        The first request to end decides, and its error is raised.
+        asked by the version that it reported itself, so that its changes apply on top of every newer version,
+        whichever source reported that.
         """
-        responses, tasks = Queue(2 * RESPONSE_TIMEOUT_US // HEDGE_INTERVAL_US), []
-
-        def send_request():
-            try:
-                with Deadline(self.loop, RESPONSE_TIMEOUT_US):
-                    response = yield from call(
-                        self.loop, address, "GET", HOSTS_PATH, b"", RESPONSE_TIMEOUT_US
-                    )
-                responses.put_now((response, None))
-            except (*CALL_ERRORS, DeadlineExceededError) as error:
-                responses.put_now((None, error))
-
+        times = CallTimes(WATCH_TIME_US, RESPONSE_TIMEOUT_US, HEDGE_INTERVAL_US)
+        calls = DiscoveryCalls(self.loop, address, times, self.counts)
+        source = FollowedSource(Backoff(20_000, MAX_RETRY_DELAY_US, self.loop.kernel.random_seed()))
         try:
             while True:
-                tasks.append(self.loop.spawn(send_request(), "discovery-ask"))
-                hedge_timer = Deadline(self.loop, HEDGE_INTERVAL_US)
-                try:
-                    with hedge_timer:
-                        response, error = yield from responses.get()
-                except DeadlineExceededError:
-                    if not hedge_timer.passed:
-                        raise
-                    continue
-                if error is not None:
-                    raise error
-                return response
+                wake_at = self.start_due_call(calls, source)
+                result = yield from calls.next_result(wake_at)
+                if result is not None:
+                    self.handle_result(calls, source, result)
         finally:
-            for task in tasks:
-                task.cancel()
+            calls.close()
+
+    def start_due_call(self, calls: DiscoveryCalls, source: FollowedSource) -> int:
+        """Starts the call that is due, if any, and returns when the next one is."""
+        now, schedule = self.loop.now(), calls.schedule
+        needed = CallKind.WHOLE_LIST if source.version is None else CallKind.WATCH
+        if not schedule.has_open(needed):
+            if now < source.retry_at:
+                return source.retry_at
+            if needed is CallKind.WATCH:
+                calls.start_watch(source.version)
+            else:
+                calls.start_whole_list()
+        elif now >= schedule.next_call_at():
+            is_silent = schedule.is_silent(now)
+            calls.start_whole_list()
+            if is_silent:
+                source.version = None
+            if is_silent and schedule.open_calls[-1].is_kept:
+                self.report_error(f"no response for {(now - schedule.last_response_at) // 1000} ms")
+        return schedule.next_call_at()
+
+    def handle_result(self, calls: DiscoveryCalls, source: FollowedSource, result: CallResult) -> None:
+        """Applies the result of a call. An error is logged, and the whole list is fetched after a delay."""
+        was_slow, silent_watches = calls.schedule.is_slow, calls.silent_watches
+        calls.record_result(result)
+        if calls.silent_watches > silent_watches and not was_slow:
+            self.report_error("a watch has fallen silent")
+        try:
+            if result.error is not None:
+                raise result.error
+            if result.status != 200:
+                raise JsonLineError(f"status {result.status}")
+            version = self.apply_response(parse_object(result.body))
+        except (*CALL_ERRORS, DeadlineExceededError) as error:
+            self.report_error(f"{type(error).__name__}: {error}"[:200])
+            source.version = None
+            source.retry_at = self.loop.now() + source.backoff.next_delay()
+            return
+        self.has_received = True
+        self.source_switch.source_answered()
+        if calls.schedule.is_slow and not was_slow:
+            self.log.warning("discovery slow", response_ms=calls.schedule.response_time // 1000)
+        if result.call.kind is CallKind.WATCH:  # a whole list alone doesn't prove that watches work again
+            source.backoff.reset()
+        self.record_version(source, result.call, version)
+
+    def record_version(self, source: FollowedSource, call: DiscoveryCall, version: int) -> None:
+        """Records the version that a source has reported in its response to a call."""
+        now = self.loop.now()
+        is_overtaken = call.started_at < source.newest_answered_at
+        if is_overtaken and source.version is not None and version < source.version:
+            return
+        source.newest_answered_at = max(source.newest_answered_at, call.started_at)
+        source.version = version
+        if version >= self.instances.seq:
+            source.stale_since = None
+        elif source.stale_since is None:
+            source.stale_since = now
+        if source.stale_since is not None and now - source.stale_since > STALE_SOURCE_TIME_US:
+            # Discovery has lost its versions (a restart without state): its list replaces ours.
+            self.instances.seq, source.stale_since, source.version = 0, None, None
+        elif call.after is not None and version <= call.after and now - call.started_at < WATCH_TIME_US // 2:
+            # There is no change, although the watch had time to wait for one: fetch the whole list after a
+            # pause shorter than the gap that is allowed between two calls. Without this a source that repeats
+            # an old version is polled in a busy loop, and the stale list is never replaced.
+            source.version = None
+            source.retry_at = now + EMPTY_RESPONSE_PAUSE_US
+
+    def report_error(self, why: str) -> None:
+        """Counts and logs an error; decisions that poll the list get it too."""
+        self.counts["errors"] += 1
+        self.log.warning("discovery", why=why)
+        if self.reports_every_response:
+            self.host.post_event_first("on_list_error")
 
     def request_list(self, whole: bool):
         """Does nothing: a watch is always open, so requests of the decisions need no call."""
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -183,6 +183,7 @@
                 timers=len(self.loop.timers.heap),
                 peers=self.host.peers and self.host.peers.counts,
                 host=self.host.counts,
+                discovery=self.discovery.counts,
                 **self.frontend.counts,
                 given_up=self.host.decisions.given_up,
                 admitted=round(self.host.decisions.admitted_share, 2),
