A stream that begins later than its silence limit is followed, not opened anew for ever

A platform or desk whose first object takes longer than the silence limit (3 s for the platform's feed) was never heard: no news, so the cap of a trial stayed as it was.

Cause: follow_stream closed a silent stream and opened a new one, and waited for that as long again.

Evidence: with the former follow_stream the feed of a platform 1 s slower than the limit is not heard within 20 s, and of two streams that begin 1.5 and 2.5 times the limit late none is followed (tests/test_slow_streams.py, 3 of 5 fail; the other two, a broken stream and a return from silence, pass before and after).

Used by the platform's feed, the HTTP gateway's list and news, and an agent's orders.

--- a/cobaltpond/rpc/__init__.py
+++ b/cobaltpond/rpc/__init__.py
@@ -1,7 +1,8 @@
 """Calls and streams of JSON lines over HTTP/1.1 between the components."""
 
-from cobaltpond.rpc.client import CALL_ERRORS, NOT_SENT_ERRORS, Backoff, LineStream, call, follow_stream
+from cobaltpond.rpc.client import CALL_ERRORS, NOT_SENT_ERRORS, Backoff, call
 from cobaltpond.rpc.server import Request, ResponseStream, RpcError, json_response, serve_rpc
+from cobaltpond.rpc.streams import LineStream, follow_stream
 
 __all__ = [
     "Backoff",
