Calls that are late stay open while the next is made: desk, agents and the polled list

A platform of instances, desk or list that answers later than 1 s was never heard: the desk knew no instance, an agent's drain did not end, a build with a slow health check counted as not ready. A gateway that polls its list gave up each poll after a third of the time for which a list is valid.

Cause: each of these calls was given up at its limit and made anew.

A poll of the list is reported as late when it was before, and its response counts for as long as a list is valid.

--- a/cobaltpond/agent/actions.py
+++ b/cobaltpond/agent/actions.py
@@ -8,9 +8,9 @@
 from cobaltpond.builds.fetch import FetchError
 from cobaltpond.builds.manifest import MAX_MANIFEST_BYTES, ManifestError, read_manifest, read_stored_manifest
 from cobaltpond.builds.store import CorruptChunkError, StoreFullError
-from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep, UnreachableError
+from cobaltpond.loop import DeadlineExceededError, Sleep, UnreachableError
 from cobaltpond.loop.errors import error_name
-from cobaltpond.rpc import CALL_ERRORS, call
+from cobaltpond.rpc import CALL_ERRORS, RepeatedCall
 
 POLL_INTERVAL_US = 40_000  # interval between checks of a process
 MAX_OUTPUT_BYTES = 1 << 20  # the output file of an instance is truncated beyond this size
@@ -152,22 +152,20 @@
 
         def probe():
             deadline = self.loop.now() + self.settings.builds.ready_time
-            while self.loop.now() < deadline:
-                try:
-                    with Deadline(self.loop, CALL_TIMEOUT_US):
-                        status, _ = yield from call(
-                            self.loop,
-                            (self.host.address, process.port),
-                            "GET",
-                            manifest.health,
-                            b"",
-                            CALL_TIMEOUT_US,
+            health_call = RepeatedCall(self.loop, (self.host.address, process.port))
+            try:
+                while self.loop.now() < deadline:
+                    try:
+                        response = yield from health_call.attempt(
+                            "GET", manifest.health, b"", CALL_TIMEOUT_US
                         )
-                    if status == 200:
-                        return self.apply_event(build, "ready")
-                except (*CALL_ERRORS, DeadlineExceededError):
-                    pass
-                yield Sleep(POLL_INTERVAL_US)
+                        if response.status == 200:
+                            return self.apply_event(build, "ready")
+                    except (*CALL_ERRORS, DeadlineExceededError):
+                        pass
+                    yield Sleep(POLL_INTERVAL_US)
+            finally:
+                health_call.close()
             self.apply_event(build, "late", "not ready in time")
 
         self.start_task(build, "probe", probe())
--- a/cobaltpond/agent/main.py
+++ b/cobaltpond/agent/main.py
@@ -14,10 +14,10 @@
 from cobaltpond.builds.fetch import Fetcher
 from cobaltpond.builds.manifest import KeyRing, ManifestError, apply_ring_chain
 from cobaltpond.builds.store import Store
-from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep, run_component
+from cobaltpond.loop import DeadlineExceededError, Sleep, run_component
 from cobaltpond.loop.errors import error_name
 from cobaltpond.loop.random_source import seeded_random
-from cobaltpond.rpc import CALL_ERRORS, Backoff, call, follow_stream
+from cobaltpond.rpc import CALL_ERRORS, Backoff, RepeatedCall, follow_stream
 from cobaltpond.settings.sections import split_address
 from cobaltpond.wal import Journal, JournalError
 
@@ -255,23 +255,22 @@
     def send_reports(self):
         """A task: reports every change to the desk, and the unchanged state every REPORT_INTERVAL_US."""
         last_sent, last_report_at = None, 0
-        while True:
-            current = self.current_report()
-            if current != last_sent or self.loop.now() - last_report_at > REPORT_INTERVAL_US:
-                try:
-                    with Deadline(self.loop, CALL_TIMEOUT_US):
-                        status, _ = yield from call(
-                            self.loop,
-                            split_address(self.settings.desk.address),
-                            "POST",
-                            "/v1/reports",
-                            json.dumps(current).encode(),
-                            CALL_TIMEOUT_US,
+        report_call = RepeatedCall(self.loop, split_address(self.settings.desk.address))
+        try:
+            while True:
+                current = json.dumps(self.current_report()).encode()
+                if current != last_sent or self.loop.now() - last_report_at > REPORT_INTERVAL_US:
+                    try:
+                        response = yield from report_call.attempt(
+                            "POST", "/v1/reports", current, CALL_TIMEOUT_US
                         )
-                    last_sent, last_report_at = (current if status == 200 else None), self.loop.now()
-                except (*CALL_ERRORS, DeadlineExceededError):
-                    last_sent = None
-            yield Sleep(20_000)
+                        last_sent = response.request_body if response.status == 200 else None
+                        last_report_at = self.loop.now()
+                    except (*CALL_ERRORS, DeadlineExceededError):
+                        last_sent = None
+                yield Sleep(20_000)
+        finally:
+            report_call.close()
 
     def prune(self):
         """Deletes old builds that neither run nor stand in the order, which names the rollback target too."""
--- a/cobaltpond/agent/registration.py
+++ b/cobaltpond/agent/registration.py
@@ -3,8 +3,8 @@
 import json
 
 from cobaltpond.agent.states import DRAINING
-from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep
-from cobaltpond.rpc import CALL_ERRORS, Backoff, call
+from cobaltpond.loop import DeadlineExceededError, Sleep
+from cobaltpond.rpc import CALL_ERRORS, Backoff, RepeatedCall
 from cobaltpond.settings.sections import split_address
 
 CALL_TIMEOUT_US = 1_000_000  # microseconds
@@ -57,24 +57,23 @@
         def publish_until_accepted():
             """Retries until the list accepts the state, so that the list converges to it."""
             backoff = Backoff(50_000, 1_000_000, self.loop.kernel.random_seed())
-            while True:
-                try:
-                    with Deadline(self.loop, CALL_TIMEOUT_US):
-                        status, _ = yield from call(
-                            self.loop,
-                            split_address(self.settings.listing.address),
-                            "POST",
-                            "/v1/instances",
-                            json.dumps(row).encode(),
-                            CALL_TIMEOUT_US,
+            publication = RepeatedCall(self.loop, split_address(self.settings.listing.address))
+            body = json.dumps(row).encode()
+            try:
+                while True:
+                    try:
+                        response = yield from publication.attempt(
+                            "POST", "/v1/instances", body, CALL_TIMEOUT_US
                         )
-                    if status == 200:
-                        slot = self.build_slots.slots.get(build)
-                        if state == "draining" and slot is not None and slot.state == DRAINING:
-                            self.schedule_event(build, self.settings.release.drain_time, "drained")
-                        return
-                except (*CALL_ERRORS, DeadlineExceededError):
-                    pass
-                yield Sleep(backoff.next_delay())
+                        if response.status == 200:
+                            break
+                    except (*CALL_ERRORS, DeadlineExceededError):
+                        pass
+                    yield Sleep(backoff.next_delay())
+            finally:
+                publication.close()
+            slot = self.build_slots.slots.get(build)
+            if state == "draining" and slot is not None and slot.state == DRAINING:
+                self.schedule_event(build, self.settings.release.drain_time, "drained")
 
         self.start_task(process.mark, "list", publish_until_accepted())
--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -7,7 +7,7 @@
 from cobaltpond.desk.stages import NO_BUILD, ReleaseStages
 from cobaltpond.desk.state_recovery import StateRecovery
 from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep, run_component
-from cobaltpond.rpc import CALL_ERRORS, call, serve_rpc
+from cobaltpond.rpc import CALL_ERRORS, RepeatedCall, call, serve_rpc
 from cobaltpond.settings.sections import split_address
 from cobaltpond.wal import Journal
 
@@ -209,12 +209,19 @@
 
     def poll_platform(self):
         """A task: polls the platform's list of instances for ever."""
-        while True:
-            try:
-                self.apply_instance_list((yield from self.call_platform("GET", "/v1/machines")))
-            except (*CALL_ERRORS, DeadlineExceededError, KeyError, ValueError) as error:
-                self.log.warning("platform call failed; retrying", why=f"{type(error).__name__}: {error}")
-            yield Sleep(100_000)
+        poll = RepeatedCall(self.loop, self.platform)
+        try:
+            while True:
+                try:
+                    response = yield from poll.attempt("GET", "/v1/machines", b"", CALL_TIMEOUT_US)
+                    if response.status >= 300:
+                        raise ValueError(f"GET /v1/machines: status {response.status}")
+                    self.apply_instance_list(json.loads(response.body))
+                except (*CALL_ERRORS, DeadlineExceededError, KeyError, ValueError) as error:
+                    self.log.warning("platform call failed; retrying", why=f"{type(error).__name__}: {error}")
+                yield Sleep(100_000)
+        finally:
+            poll.close()
 
     def tick(self):
         """Advances the release; then persists it, gives orders and sends news, in this order."""
--- a/cobaltpond/gateway/instance_list.py
+++ b/cobaltpond/gateway/instance_list.py
@@ -290,11 +290,22 @@
     def request_list(self, whole: bool):
         """Polls once for what has changed, or for the whole list.
 
-        The decisions always get one event, `on_list` or `on_list_error`. A gap in a change is followed by a
-        request for the whole list.
+        The decisions always get an event, `on_list` or `on_list_error`. A gap in a change is followed by a
+        request for the whole list. A poll that is late is reported as an error, so that the decisions make
+        another one, and its response is still applied if it comes within the time for which a list is valid.
         """
+        ask_within, has_failed = self.settings.listing.ask_within, [False]
+
+        def report_error(why: str):
+            if not has_failed[0]:
+                has_failed[0] = True
+                self.counts["errors"] += 1
+                self.log.warning("list call failed", why=why)
+                self.host.post_event_first("on_list_error")
+
+        late_timer = self.loop.call_in(ask_within // 3, lambda: report_error("the response is late"))
         try:
-            with Deadline(self.loop, self.settings.listing.ask_within // 3):
+            with Deadline(self.loop, ask_within):
                 status, body = yield from call(
                     self.loop,
                     self.address,
@@ -315,14 +326,15 @@
         except ListGapError as error:
             self.counts["gaps"] += 1
             self.log.warning("list gap", why=str(error))
+            late_timer.cancel()
             if whole:
                 self.host.post_event_first("on_list_error")
             else:
                 yield from self.request_list(whole=True)
         except (*CALL_ERRORS, DeadlineExceededError) as error:
-            self.counts["errors"] += 1
-            self.log.warning("list call failed", why=f"{type(error).__name__}: {error}")
-            self.host.post_event_first("on_list_error")
+            report_error(f"{type(error).__name__}: {error}")
+        finally:
+            late_timer.cancel()
 
     def persist_list(self):
         """Writes the stored list at most once a second; runs until cancelled.
