A slow discovery is asked for changes, not for the whole list, beside an open watch

Cause: the calls that follow each other while discovery is slow asked for the whole list.

Change: where the version is known and the source answers, the further call is one for the changes since that version that does not wait (wait_ms=0). A source that may be silent is asked for the whole list as before.

--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -181,14 +181,22 @@
             else:
                 calls.start_whole_list()
         elif now >= schedule.next_call_at():
-            is_silent = schedule.is_silent(now)
-            calls.start_whole_list()
-            if is_silent:
-                source.version = None
-            if is_silent and schedule.open_calls[-1].is_kept:
-                self.report_error(f"no response for {(now - schedule.last_response_at) // 1000} ms")
+            self.start_further_call(calls, source)
         return schedule.next_call_at()
 
+    def start_further_call(self, calls: DiscoveryCalls, source: FollowedSource) -> None:
+        """Starts a call beside open ones. A source that is slow is asked for changes, which costs it less."""
+        now, schedule = self.loop.now(), calls.schedule
+        is_silent = schedule.is_silent(now)
+        if schedule.is_slow and not is_silent and source.version is not None:
+            calls.start_changes(source.version)
+            return
+        calls.start_whole_list()
+        if is_silent:
+            source.version = None
+            if schedule.open_calls[-1].is_kept:
+                self.report_error(f"no response for {(now - schedule.last_response_at) // 1000} ms")
+
     def handle_result(self, calls: DiscoveryCalls, source: FollowedSource, result: CallResult) -> None:
         """Applies the result of a call. An error is logged, and the whole list is fetched after a delay."""
         was_slow, silent_watches = calls.schedule.is_slow, calls.silent_watches
@@ -229,7 +237,11 @@
         if source.stale_since is not None and now - source.stale_since > STALE_SOURCE_TIME_US:
             # Discovery has lost its versions (a restart without state): its list replaces ours.
             self.instances.seq, source.stale_since, source.version = 0, None, None
-        elif call.after is not None and version <= call.after and now - call.started_at < WATCH_TIME_US // 2:
+        elif (
+            call.kind is CallKind.WATCH
+            and version <= call.after
+            and now - call.started_at < WATCH_TIME_US // 2
+        ):
             # There is no change, although the watch had time to wait for one: fetch the whole list after a
             # pause shorter than the gap that is allowed between two calls. Without this a source that repeats
             # an old version is polled in a busy loop, and the stale list is never replaced.
--- a/cobaltpond/edge/discovery_calls.py
+++ b/cobaltpond/edge/discovery_calls.py
@@ -16,17 +16,18 @@
 HOSTS_PATH = "/discovery/hosts"
 # Numbers of calls for the whole list that may wait at a silent source: the newest, and those kept for longer.
 MAX_BRIEF_CALLS, MAX_KEPT_CALLS = 12, 5
-MAX_OPEN_CALLS = 1 + MAX_BRIEF_CALLS + MAX_KEPT_CALLS  # with a watch
 # Number of calls that may wait at a source that is known to be slow: more would only make it slower.
 MAX_CALLS_AT_SLOW_SOURCE = 3
+MAX_OPEN_CALLS = MAX_BRIEF_CALLS + MAX_KEPT_CALLS + MAX_CALLS_AT_SLOW_SOURCE
 # Limit of connecting, of the measured response time, and of the wait for a source that has been slow.
 MAX_RESPONSE_TIME_US = 6_000_000
 
 
 class CallKind(Enum):
-    """What a call asks for."""
+    """What a call asks for: the list, its changes since a version now, or once there are some."""
 
     WHOLE_LIST = "whole list"
+    CHANGES = "changes"
     WATCH = "watch"
 
 
@@ -47,8 +48,8 @@
 class DiscoveryCall:
     """An open call. Times in microseconds of the loop.
 
-    `after`: the version that a watch names, else None. `is_kept`: a call for the whole list that waits for
-    longer than others.
+    `after`: the version since which changes are asked for, None for the whole list. `is_kept`: a call for the
+    whole list that waits for longer than others.
     """
 
     kind: CallKind
@@ -104,7 +105,7 @@
         return now >= self.silent_from()
 
     def next_call_at(self) -> int:
-        """Returns when the whole list is asked for again although a call is open."""
+        """Returns when the next call begins although one is open."""
         newest = self.open_calls[-1]
         probe_at = max(self.silent_from(), newest.started_at + self.times.hedge)
         if self.response_time > self.times.hedge and len(self.open_calls) >= MAX_CALLS_AT_SLOW_SOURCE:
@@ -114,10 +115,12 @@
         return min(probe_at, newest.started_at + max(self.times.hedge, self.response_time // 2))
 
     def start_watch(self, now: int, after: int) -> DiscoveryCall:
-        """Adds a watch."""
-        started = DiscoveryCall(CallKind.WATCH, after, now, now + self.times.watch)
-        self.open_calls.append(started)
-        return started
+        """Adds a watch for changes."""
+        return self.add(DiscoveryCall(CallKind.WATCH, after, now, now + self.times.watch))
+
+    def start_changes(self, now: int, after: int) -> DiscoveryCall:
+        """Adds a call for the changes until now."""
+        return self.add(DiscoveryCall(CallKind.CHANGES, after, now, now))
 
     def start_whole_list(self, now: int) -> tuple[DiscoveryCall, list]:
         """Adds a call for the whole list and returns it with the calls that are given up for it."""
@@ -130,9 +133,12 @@
         for oldest in given_up:
             self.remove(oldest)
         self.given_up_count += len(given_up)
-        started = DiscoveryCall(CallKind.WHOLE_LIST, None, now, now, is_kept)
+        return self.add(DiscoveryCall(CallKind.WHOLE_LIST, None, now, now, is_kept)), given_up
+
+    def add(self, started: DiscoveryCall) -> DiscoveryCall:
+        """Adds a call."""
         self.open_calls.append(started)
-        return started, given_up
+        return started
 
     def remove(self, ended: DiscoveryCall) -> None:
         """Removes a call that has ended without a response."""
@@ -150,7 +156,7 @@
         for older in self.open_calls:
             if older is answered:
                 break
-            if older.kind is CallKind.WHOLE_LIST or now >= older.due_at + self.times.response:
+            if older.kind is not CallKind.WATCH or now >= older.due_at + self.times.response:
                 given_up.append(older)
         for ended in (*given_up, answered):
             self.remove(ended)
@@ -180,6 +186,10 @@
         """Starts a watch for what is newer than a version; its result comes from `next_result`."""
         self.spawn(self.schedule.start_watch(self.loop.now(), after))
 
+    def start_changes(self, after: int) -> None:
+        """Starts a call for what is newer than a version now; its result comes from `next_result`."""
+        self.spawn(self.schedule.start_changes(self.loop.now(), after))
+
     def start_whole_list(self) -> None:
         """Starts a call for the whole list; its result comes from `next_result`."""
         started, given_up = self.schedule.start_whole_list(self.loop.now())
@@ -194,8 +204,8 @@
     def run(self, started: DiscoveryCall):
         """Makes one call and puts its result into the queue."""
         target = HOSTS_PATH
-        if started.kind is CallKind.WATCH:
-            target += f"?after={started.after}&wait_ms={self.schedule.times.watch // 1000}"
+        if started.after is not None:
+            target += f"?after={started.after}&wait_ms={(started.due_at - started.started_at) // 1000}"
         try:
             status, body = yield from call(self.loop, self.address, "GET", target, b"", MAX_RESPONSE_TIME_US)
             result = CallResult(started, status, body)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -141,18 +141,20 @@
 
 @pytest.mark.parametrize("delay_ms", [1500, 4000])
 def test_slow_discovery_is_not_crowded_by_more_calls(delay_ms, make_world):
-    """Guards against a retry storm: the slower discovery is, the fewer calls it gets."""
+    """Guards against a retry storm: the slower discovery is, the fewer calls it gets, for changes alone."""
     world = make_world(delay=delay_ms * MS)
 
     def go():
         yield Sleep(10 * SECOND)
         world.discovery.calls.clear()
+        world.requests.clear()
         world.discovery.most_open = world.discovery.open_calls
         yield Sleep(20 * SECOND)
-        return len(world.discovery.calls), world.discovery.most_open
+        whole_lists = sum(path.endswith("/hosts") and not is_watch for _, path, is_watch in world.requests)
+        return len(world.discovery.calls), world.discovery.most_open, whole_lists
 
-    calls, most_open = world.run(go(), bound=40 * SECOND)
-    assert calls <= 20 * 2 and most_open <= 4
+    calls, most_open, whole_lists = world.run(go(), bound=40 * SECOND)
+    assert calls <= 20 * 2 and most_open <= 4 and whole_lists == 0
 
 
 @pytest.mark.parametrize("service_ms", [300, 600, 900, 1500])
