--- a/cobaltpond/cli/main.py
+++ b/cobaltpond/cli/main.py
@@ -1,4 +1,4 @@
-"""Command group `cobaltpond` and all commands but those of `sim`.
+"""Command group `cobaltpond` and all commands but those of `release` and `sim`.
 
 Exit codes: 0 success, 1 a rule was broken or a component failed, 2 invalid input.
 """
@@ -11,11 +11,11 @@
 import click
 import structlog
 
+from cobaltpond.cli.release import release
+from cobaltpond.cli.settings_file import load_settings
 from cobaltpond.cli.sim import sim
-from cobaltpond.loop import Deadline, DeadlineExceededError, EpollKernel, Loop, Sleep, run_component
-from cobaltpond.loop.clock import format_utc
-from cobaltpond.settings import SettingsError, read_settings
-from cobaltpond.settings.sections import split_address
+from cobaltpond.loop import EpollKernel, run_component
+from cobaltpond.settings import SettingsError
 
 
 def create_logger(component: str):
@@ -36,19 +36,6 @@
     return structlog.get_logger().bind(part=component)
 
 
-def load_settings(path: str):
-    """Returns the `DeploymentSettings` of a settings file.
-
-    Prints the error and exits with code 2 where the file is invalid.
-    """
-    try:
-        with open(path, encoding="utf-8") as file:
-            return read_settings(path, file.read())
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
-
-
 @click.group()
 @click.version_option(package_name=None, version="0.2.0", prog_name="cobaltpond")
 def main():
@@ -123,41 +110,6 @@
     run_agent(EpollKernel(), settings, host, create_logger(f"agent-{place}"))
 
 
-def call_desk(file, method, target, body=None, raw=b""):
-    """Sends one HTTP call to the desk of a settings file and returns the decoded JSON response.
-
-    `body` is sent as JSON, `raw` unchanged where there is no `body`. The call times out after 3 s. Prints the
-    error and exits with code 1 where the desk does not answer or refuses the call.
-    """
-    from cobaltpond.rpc import CALL_ERRORS, call
-
-    settings, loop = load_settings(file), Loop(EpollKernel())
-
-    def request():
-        with Deadline(loop, 3_000_000):
-            return (
-                yield from call(
-                    loop,
-                    split_address(settings.desk.address),
-                    method,
-                    target,
-                    json.dumps(body).encode() if body else raw,
-                    1_000_000,
-                )
-            )
-
-    try:
-        status, text = loop.run(loop.spawn(request(), "ask"))
-    except (*CALL_ERRORS, DeadlineExceededError) as error:
-        click.echo(f"no answer from the desk at {settings.desk.address}: {error}", err=True)
-        sys.exit(1)
-    answer = json.loads(text)
-    if status >= 300:
-        click.echo(f"the desk refused the call: {answer.get('error', status)}", err=True)
-        sys.exit(1)
-    return answer
-
-
 @main.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @click.option("--at", type=int, default=None, help="Shows the table of this gateway only.")
@@ -178,102 +130,6 @@
     sys.exit(show(EpollKernel(), settings, at, watch, as_json, click.echo))
 
 
-@main.group()
-def release():
-    """Sends commands to the release desk."""
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.argument("build", type=int)
-def offer(file, build):
-    """Offers a build to the desk, which releases it in stages."""
-    click.echo(json.dumps(call_desk(file, "POST", "/v1/builds", {"build": build})["news"]))
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-def status(file):
-    """Prints the state of the newest build as JSON."""
-    click.echo(json.dumps(call_desk(file, "GET", "/v1/status"), indent=2))
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.argument("build", type=int)
-@click.option("--why", default="", help="Reason that the history keeps.")
-def back(file, build, why):
-    """Rolls a build back, on trial or released, to the one before it."""
-    click.echo(json.dumps(call_desk(file, "POST", "/v1/back", {"build": build, "why": why})["news"]))
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.argument("ring", type=click.File("rb"))
-def keys(file, ring):
-    """Uploads a signed key ring to the desk, which stores it and distributes it to every host."""
-    click.echo(json.dumps(call_desk(file, "POST", "/v1/keys", raw=ring.read())))
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.option("--as-json", is_flag=True)
-def history(file, as_json):
-    """Lists the phase changes of the last builds with their reasons."""
-    rows = call_desk(file, "GET", "/v1/history")["history"]
-    for row in rows:
-        click.echo(
-            json.dumps(row)
-            if as_json
-            else f"{format_utc(row['at'])}  build {row['build']} stage {row['stage']}: "
-            f"{row['phase']} ({row['why']})"
-        )
-
-
-@release.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
-@click.option("--as-json", is_flag=True, help="Prints one JSON object at each change.")
-@click.option("--seconds", type=int, default=600, help="Stops watching after this many seconds.")
-def watch(file, as_json, seconds):
-    """Watches the newest build until it is released or withdrawn. Exit code 0 only if it was released."""
-    loop, previous, news = Loop(EpollKernel()), None, {}
-
-    def pause():
-        yield Sleep(300_000)
-
-    deadline = loop.kernel.now() + seconds * 1_000_000
-    while loop.kernel.now() < deadline:
-        state = call_desk(file, "GET", "/v1/status")
-        news = state["news"]
-        up_count = sum(m["build"] == news["build"] and m["state"] == "up" for m in state["machines"])
-        summary = {
-            "build": news["build"],
-            "stage": news["stage"],
-            "phase": news["phase"],
-            "cap": round(news["cap"], 3),
-            "up": up_count,
-            "places": len({m["place"] for m in state["machines"]}),
-            "votes": state["votes"],
-            "missing": state["missing"],
-        }
-        if summary != previous:
-            previous = summary
-            if as_json:
-                click.echo(json.dumps(summary))
-            else:
-                bar = "#" * up_count + "." * (summary["places"] - up_count)
-                click.echo(
-                    f"build {news['build']} stage {news['stage']} {news['phase']:<11} [{bar}] "
-                    f"cap {news['cap']:.2f}  votes {state['votes']}"
-                )
-                for place, build, why in state["missing"]:
-                    click.echo(f"    {place}: build {build}: {why}")
-        if news["phase"] in ("released", "withdrawn") and not state["offered"]:
-            break
-        loop.run(loop.spawn(pause(), "pause"))
-    sys.exit(0 if news.get("phase") == "released" else 1)
-
-
 @main.command()
 @click.argument("script", required=False, type=click.Path(exists=True, dir_okay=False))
 @click.option(
@@ -344,6 +200,7 @@
     sys.exit(0 if result["found"].all_kept else 1)
 
 
+main.add_command(release)
 main.add_command(sim)
 
 
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -5,7 +5,7 @@
 from cobaltpond.loop.errors import ConnectionLostError, HandlesExhaustedError
 from cobaltpond.loop.tasks import Deadline, Readable, Sleep, TaskCancelledError, Writable
 
-CHUNK = 1 << 16  # bytes  # bytes
+CHUNK = 1 << 16  # bytes
 MAX_DRAIN_ATTEMPTS = 50  # attempts to accept the rest of the backlog while no file descriptor is free
 
 
