--- a/tests/test_slow_calls.py
+++ b/tests/test_slow_calls.py
@@ -200,7 +200,6 @@
         yield Sleep(slow)
         return response
 
-    world.on_list = answer_late
     listener = world.loop.kernel.listen(LOCAL_ANY_PORT, 64)
     world.loop.spawn(serve_rpc(world.loop, listener, answer_late, "slow-list"), "slow-list")
     world.process.list_follower.address = listener.address()
