--- /dev/null
+++ b/bench/crowd/__init__.py
@@ -0,0 +1,1 @@
+"""Plays crowds of clients and signals against real gateway processes on loopback, and checks the rules."""
--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -37,6 +37,19 @@
             and not self.parser.has_partial
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes this connection makes the process hold: half a message, commands that wait, the open
+        request, and what the client has not read.
+        """
+        statement = self.hit.statement if self.hit is not None else None
+        return (
+            len(self.parser.pending)
+            + sum(map(len, self.queued_commands))
+            + (len(statement.head) + len(statement.tail) if statement is not None else 0)
+            + len(self.unsent)
+        )
+
     def receive(self, data: bytes) -> None:
         """Handles bytes of the client."""
         self.last_active = self.loop.now()
@@ -113,6 +126,7 @@
     def refuse(self, code: str, text: str) -> None:
         """Sends one FATAL error and closes. A hit that is open here gets it as its final response."""
         self.frontend.increment("unfit")
+        self.frontend.record_refusal(code, text)
         self.abandon_open_hit()
         if self.closing_since is None:
             self.send_data(pg.error_response(code, text, fatal=True))
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -38,6 +38,7 @@
         self.customers = {row["name"] for row in policy_settings["customers"]}
         self.may_cancel = bool(policy_settings.get("may_cancel"))
         self.clients, self.open_ids, self.draining, self.counts = {}, {}, False, {}
+        self.refusals = {}  # connections that were ended with an error, by SQLSTATE and reason
         # answer_deadline: by when all responses are sent, once the gateway drains
         self.listener, self.answer_deadline = None, None
 
@@ -45,6 +46,15 @@
         """Increments a counter."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def record_refusal(self, code: str, text: str) -> None:
+        """Counts a connection that is ended with an error; `text` never holds what a client sent."""
+        reason = f"{code} {text}"
+        self.refusals[reason] = self.refusals.get(reason, 0) + 1
+
+    def held_bytes(self) -> int:
+        """Returns how many bytes all clients together make the process hold."""
+        return sum(client.held_bytes for client in self.clients)
+
     def time_remaining(self) -> int:
         """Returns the microseconds in which a response can still be sent."""
         return UNLIMITED_US if self.answer_deadline is None else self.answer_deadline - self.loop.now()
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -175,6 +175,9 @@
             self.log.info(
                 "figures",
                 late_us=lag,
+                longest_turn_us=self.loop.take_longest_turn(),
+                memory_bytes=self.loop.kernel.memory_used(),
+                client_bytes=self.frontend.held_bytes(),
                 clients=len(self.frontend.clients),
                 open=self.host.open_hits,
                 hits=len(self.host.pending_hits),
@@ -185,6 +188,7 @@
                 host=self.host.counts,
                 discovery=self.discovery.counts,
                 **self.frontend.counts,
+                refusals=self.frontend.refusals,
                 given_up=self.host.decisions.given_up,
                 admitted=round(self.host.decisions.admitted_share, 2),
                 endings={k: v for k, v in self.forwards.result_counts.items() if v},
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -3,6 +3,7 @@
 """
 
 from cobaltpond.loop.errors import ConnectionLostError, HandlesExhaustedError, RefusedError, UnreachableError
+from cobaltpond.loop.event_loop import Loop
 from cobaltpond.loop.kernel import EpollKernel
 from cobaltpond.loop.kernel_interface import Kernel
 from cobaltpond.loop.ports import reserve_ports
@@ -12,7 +13,6 @@
     Deadline,
     DeadlineExceededError,
     Event,
-    Loop,
     Queue,
     Readable,
     Sleep,
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -115,6 +115,17 @@
         gc.collect()
         gc.freeze()
 
+    def memory_used(self) -> int:
+        """Returns the bytes of anonymous memory of this process; 0 where the system does not tell
+        (proc(5), statm).
+        """
+        try:
+            with open("/proc/self/statm", "rb") as file:
+                resident, shared = file.read().split()[1:3]
+        except (OSError, ValueError):
+            return 0
+        return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE")
+
     def listen(self, address, backlog=128) -> Listener:
         """Opens a listening TCP socket. Raises UnreachableError where the address cannot be used."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/cobaltpond/loop/kernel_interface.py
+++ b/cobaltpond/loop/kernel_interface.py
@@ -34,6 +34,9 @@
     def freeze_memory(self) -> None:
         """Excludes what is in memory now from later garbage collections."""
 
+    def memory_used(self) -> int:
+        """Returns the bytes of memory that this process alone uses; 0 where it is not known."""
+
     def listen(self, address: tuple[str, int], backlog: int):
         """Opens a listening TCP socket. Raises UnreachableError where the address cannot be used."""
 
--- a/cobaltpond/loop/process.py
+++ b/cobaltpond/loop/process.py
@@ -2,7 +2,7 @@
 
 import os
 
-from cobaltpond.loop.tasks import Loop
+from cobaltpond.loop.event_loop import Loop
 
 
 def run_component(kernel, make_component, log, name: str):
--- a/cobaltpond/sim/kernel.py
+++ b/cobaltpond/sim/kernel.py
@@ -74,6 +74,10 @@
         """Do nothing: only a real process has a garbage collector to tune."""
         pass
 
+    def memory_used(self) -> int:
+        """Return 0: memory is not simulated."""
+        return 0
+
     def on_signals(self, call) -> None:
         """Set the function that is called with the name of each signal."""
         self.signal_handler = call
