An id that was sent and may not run twice is not sent again after its client has left

Cause: an id was refused only while its request was open (Frontend.open_ids). A request whose client leaves is final at once, but an attempt that may not be cancelled runs on; so the id was free while it ran, and after it.

Change: edge/sent_ids.py keeps the latest 4096 ids that were written to an instance in classes that may not simply be repeated, and such an id is refused like that of an open request. An attempt asks once more, before each write, whether its client has left. An id that was never written stays free: a request that crossed a close comes once more.

Why it works: the id is recorded before its first byte is written, so no order of close and return leaves a gap.

The hit in tests/test_late_duplicates.py is a stand-in and gets the two methods that attempts call now.

--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -228,6 +228,8 @@
                 raise StatementError("this path group needs a key")
             if statement.id in frontend.open_ids:
                 raise StatementError("a hit of that id is open")
+            if statement.id in frontend.sent_ids:
+                raise StatementError("a hit of that id may have run")
         except StatementError as error:
             self.refuse("42601", str(error))
             return
@@ -272,6 +274,17 @@
         super().__init__(client.frontend.host.next_number(), statement.id.decode(), client.frontend)
         self.client, self.statement = client, statement
 
+    def is_wanted(self) -> bool:
+        """Returns whether the hit may still be sent to an instance: not once its client has left."""
+        if not self.final and self.client.has_left:
+            self.client.abandon_open_hit()
+        return not self.final
+
+    def note_sent(self) -> None:
+        """Notes that the hit is about to be written to an instance."""
+        if self.frontend.groups[self.statement.group]["kind"] != "repeatable":
+            self.frontend.sent_ids.record(self.statement.id)
+
     def answer(self, outcome: str, data: bytes) -> None:
         """Ends the hit with `outcome` and sends the response."""
         self.finalize(outcome)
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -63,7 +63,8 @@
         attempt = ForwardAttempt(
             self, endpoint, hit.statement.with_time_left, hit.statement.tag, timeout, send_within
         )
-        yield from attempt.run(lambda: not hit.final, hit.deliver, on_result)
+        attempt.on_write = hit.note_sent
+        yield from attempt.run(hit.is_wanted, hit.deliver, on_result)
 
     def run_probe(self, endpoint: InstanceEndpoint, on_result):
         """Runs one probe, a cheap query to an instance; the body of a task.
@@ -100,6 +101,7 @@
         self.started_at, self.timeout = forwards.loop.now(), timeout
         self.send_by = None if send_within is None else self.started_at + send_within
         self.connection = None
+        self.on_write = None  # called before the first byte of the statement is written; None: not called
         self.partly_written = False
         self.fully_written = False
 
@@ -203,6 +205,8 @@
                 return "changed meanwhile"
             if self.send_by is not None and self.loop.kernel.now() >= self.send_by:
                 return "window over"
+            if self.on_write is not None:
+                self.on_write()
             data = data[self.connection.write_now(data) :]
             if not data:
                 return None
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -4,6 +4,7 @@
 """
 
 from cobaltpond.edge.client_connection import ClientConnection, PgHit
+from cobaltpond.edge.sent_ids import SentIds
 from cobaltpond.loop import Sleep, serve
 from cobaltpond.wire import pg
 
@@ -22,11 +23,20 @@
 class Frontend:
     """Accepts client connections and limits what they may hold."""
 
-    def __init__(self, loop, host, policy_settings: dict, connection_limit, max_connections: int, log):
+    def __init__(
+        self,
+        loop,
+        host,
+        policy_settings: dict,
+        connection_limit,
+        max_connections: int,
+        log,
+        max_sent_ids: int = 4096,
+    ):
         """Takes the limits on connections.
 
         `connection_limit()` returns the current maximum of client connections, `max_connections` is the
-        highest one.
+        highest one. `max_sent_ids`: see `SentIds`.
         """
         self.loop = loop
         self.host = host
@@ -37,6 +47,7 @@
         self.customers = {row["name"] for row in policy_settings["customers"]}
         self.may_cancel = bool(policy_settings.get("may_cancel"))
         self.clients, self.open_ids, self.draining, self.counts = {}, {}, False, {}
+        self.sent_ids = SentIds(max_sent_ids)
         self.refusals = {}  # connections that were ended with an error, by SQLSTATE and reason
         # answer_deadline: by when all responses are sent, once the gateway drains
         self.listener, self.answer_deadline = None, None
--- a/tests/test_late_duplicates.py
+++ b/tests/test_late_duplicates.py
@@ -150,7 +150,11 @@
     link, results, values = CutLink(refusal_answer), [], []
     world = PgWorld(link.script, known_list=True)
     hit = SimpleNamespace(
-        statement=PlatformStatement(statement(1, "pay")), final=False, deliver=values.append
+        statement=PlatformStatement(statement(1, "pay")),
+        final=False,
+        deliver=values.append,
+        is_wanted=lambda: True,
+        note_sent=lambda: None,
     )
 
     def go():
