After a short write a request is written on at once, not when its time is up

Cause: ForwardAttempt.send waited for the socket to become writable after any write that did not take all. The sockets are edge-triggered: one that has stayed writable reports nothing.

Change: it waits only after a write that accepted nothing. The statement is a memoryview, so what is left is not copied with each write. The other writers (Connection.write, ClientConnection.write_rest, both gateways) already try until nothing is accepted.

Evidence: tests/test_short_writes.py lets each write accept half; both cases fail without the change and pass with it; 84 tests of the platform's gateway pass.

--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -198,8 +198,10 @@
 
         Connecting takes time, and so does an instance that accepts no more bytes. Drains, the exposure cap
         and the key's window are therefore checked again before each write, so that no hit is sent on outdated
-        state.
+        state. After a short write it tries again: only a socket that accepts nothing reports when it does
+        (edge-triggered).
         """
+        data = memoryview(data)
         while True:
             if not is_wanted() or not self.forwards.is_current(self.endpoint, self.started_at):
                 return "changed meanwhile"
@@ -207,10 +209,13 @@
                 return "window over"
             if self.on_write is not None:
                 self.on_write()
-            data = data[self.connection.write_now(data) :]
+            sent = self.connection.write_now(data)
+            self.partly_written = self.partly_written or sent > 0
+            data = data[sent:]
             if not data:
                 return None
-            self.partly_written = True
+            if sent:
+                continue
             write_deadline = Deadline(
                 self.loop, self.timeout if self.send_by is None else self.send_by - self.loop.now()
             )
