A system call that fails for a moment ends no starting process and closes no listener for good

Cause: EpollKernel.listen and open_datagrams guarded bind and listen alone; serve knew one error of accept; a failed TCP_NODELAY was an error of the connection.

Change: errors while a socket is opened are typed: UnreachableError where the address can't be used, HandlesExhaustedError else. open_when_possible tries again on the second: the platform's gateway (listener, peers), the HTTP gateway, the desk. serve goes on after any error of one accept. TCP_NODELAY is a wish.

--- a/cobaltpond/desk/service.py
+++ b/cobaltpond/desk/service.py
@@ -6,7 +6,7 @@
 from cobaltpond.desk.hosts import HostOrders
 from cobaltpond.desk.stages import NO_BUILD, ReleaseStages
 from cobaltpond.desk.state_recovery import StateRecovery
-from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep, run_component
+from cobaltpond.loop import Deadline, DeadlineExceededError, Sleep, open_when_possible, run_component
 from cobaltpond.rpc import CALL_ERRORS, RepeatedCall, call, serve_rpc
 from cobaltpond.settings.sections import split_address
 from cobaltpond.wal import Journal
@@ -35,7 +35,8 @@
 
     def run(self):
         """The main task: recovers the state, then ticks until `stop` is called."""
-        listener = self.loop.kernel.listen(split_address(self.settings.desk.address))
+        address = split_address(self.settings.desk.address)
+        listener = yield from open_when_possible(lambda: self.loop.kernel.listen(address))
         if self.settings.hosts:
             self.stages = ReleaseStages(
                 self.settings.release, [h.place for h in self.settings.hosts], NO_BUILD, self.loop.now()
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -8,7 +8,7 @@
 from cobaltpond.gateway.decision_host import GatewayDecisionHost
 from cobaltpond.gateway.endpoints import EndpointPool
 from cobaltpond.gateway.peers import Peers
-from cobaltpond.loop import Loop, Sleep, run_component
+from cobaltpond.loop import Loop, Sleep, open_when_possible, run_component
 
 # how long the listener waits for the first instance list
 FIRST_LIST_TIMEOUT_US = 500_000
@@ -51,15 +51,6 @@
         self.platform = self.host.desk_client = PlatformDesk(
             loop, self.host, config.desk, settings.get("vote_wait", 1_000_000), settings["dial_time_out"], log
         )
-        if config.peer_listen and settings.get("may_tell") and config.peers:
-            self.host.peers = Peers(
-                loop,
-                dict(enumerate(config.peers)),
-                config.peer_listen,
-                settings["number"],
-                self.host,
-                config.peers_all,
-            )
         self.frontend = Frontend(
             loop, self.host, settings, self.client_connection_limit, config.client_connection_limit, log
         )
@@ -106,8 +97,8 @@
         self.platform.start(config.desk)
         loop.spawn(self.endpoints.sweep(), "sweep")
         loop.spawn(self.log_stats(), "say")
-        if self.host.peers:
-            loop.spawn(self.host.peers.listen(), "peers")
+        if config.peer_listen and config.policy_settings.get("may_tell") and config.peers:
+            loop.spawn(self.follow_peers(), "peers")
         end = loop.now() + FIRST_LIST_TIMEOUT_US
         while loop.now() < end and not self.discovery.has_received and not self.stop_requested:
             yield Sleep(2_000)
@@ -115,7 +106,10 @@
             self.log.info("stopped before the listener was open")
             return
         loop.kernel.freeze_memory()  # done before the listener opens, because it takes a while
-        self.frontend.start_accepting(loop.kernel.listen(config.listen, LISTEN_BACKLOG))
+        listener = yield from open_when_possible(
+            lambda: loop.kernel.listen(config.listen, LISTEN_BACKLOG), self.log_retry
+        )
+        self.frontend.start_accepting(listener)
         self.log.info(
             "door open",
             list=self.discovery.has_received,
@@ -135,6 +129,26 @@
         )
         self.log.info("stopped", open=self.host.open_hits, **self.frontend.counts)
 
+    def log_retry(self, error) -> None:
+        """Logs that a socket could not be opened for the moment."""
+        self.log.warning("socket not opened; retrying", why=str(error))
+
+    def follow_peers(self):
+        """Opens the socket to the other gateways and receives their messages. Runs until cancelled."""
+        config = self.config
+        self.host.peers = yield from open_when_possible(
+            lambda: Peers(
+                self.loop,
+                dict(enumerate(config.peers)),
+                config.peer_listen,
+                config.policy_settings["number"],
+                self.host,
+                config.peers_all,
+            ),
+            self.log_retry,
+        )
+        yield from self.host.peers.listen()
+
     def stop(self, name: str = "") -> None:
         """Handles a signal: HUP reloads the configuration, any other one stops the gateway."""
         if name == "HUP":
--- a/cobaltpond/gateway/main.py
+++ b/cobaltpond/gateway/main.py
@@ -11,7 +11,7 @@
 from cobaltpond.gateway.frontend import Frontend
 from cobaltpond.gateway.instance_list import InstanceListFollower
 from cobaltpond.gateway.peers import Peers
-from cobaltpond.loop import Loop, Sleep, run_component
+from cobaltpond.loop import Loop, Sleep, open_when_possible, run_component
 from cobaltpond.members.service import Members
 from cobaltpond.members.view import ProbeSettings
 from cobaltpond.members.wire import READY
@@ -215,9 +215,9 @@
         )
         # The listener opens only now. Otherwise hits would wait in the backlog of a gateway that is still
         # starting until past their client timeout, while another gateway could have served them.
-        self.frontend.start_accepting(
-            loop.kernel.listen(split_address(self.gateway_settings.door), self.settings.door.backlog)
-        )
+        address, backlog = split_address(self.gateway_settings.door), self.settings.door.backlog
+        listener = yield from open_when_possible(lambda: loop.kernel.listen(address, backlog))
+        self.frontend.start_accepting(listener)
         loop.kernel.freeze_memory()
         while not self.stop_asked and not (self.members and self.members.replaced):
             yield Sleep(20_000)
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -8,7 +8,7 @@
 from cobaltpond.loop.kernel_interface import Kernel
 from cobaltpond.loop.ports import reserve_ports
 from cobaltpond.loop.process import map_in_workers, run_component
-from cobaltpond.loop.streams import Connection, dial, serve
+from cobaltpond.loop.streams import Connection, dial, open_when_possible, serve
 from cobaltpond.loop.tasks import (
     Deadline,
     DeadlineExceededError,
@@ -42,6 +42,7 @@
     "UnreachableError",
     "Writable",
     "dial",
+    "open_when_possible",
     "reserve_ports",
     "map_in_workers",
     "run_component",
--- a/cobaltpond/loop/errors.py
+++ b/cobaltpond/loop/errors.py
@@ -12,6 +12,7 @@
     errno.EBADF,
 }
 EXHAUSTED_CODES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+UNUSABLE_ADDRESS_CODES = {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES, errno.EINVAL}
 
 
 class ConnectionLostError(Exception):
@@ -47,6 +48,14 @@
     return UnreachableError(str(error))
 
 
+def translate_open_error(error: OSError, what: str) -> Exception:
+    """Returns the error that stands for a socket that could not be opened and bound: UnreachableError where
+    its address cannot be used, else HandlesExhaustedError, which may be over in a moment. `what` failed.
+    """
+    is_final = error.errno in UNUSABLE_ADDRESS_CODES
+    return (UnreachableError if is_final else HandlesExhaustedError)(f"{what}: {error}")
+
+
 def error_name(error: BaseException) -> str:
     """Returns the name under which an error is reported to another process. This is the `outer_name` of
     its class where it has one, so that a class can be renamed without changing what is sent; otherwise
--- a/cobaltpond/loop/kernel.py
+++ b/cobaltpond/loop/kernel.py
@@ -16,8 +16,8 @@
     find_marked_processes,
     has_mark,
 )
-from cobaltpond.loop.errors import RefusedError, UnreachableError, translate_os_error
-from cobaltpond.loop.sockets import Datagrams, Handle, Listener, Stream
+from cobaltpond.loop.errors import RefusedError, UnreachableError, translate_open_error, translate_os_error
+from cobaltpond.loop.sockets import Datagrams, Handle, Listener, Stream, open_stream, set_no_delay
 
 READ_EVENTS, WRITE_EVENTS = select.EPOLLIN | select.EPOLLRDHUP, select.EPOLLOUT
 ERROR_EVENTS = select.EPOLLERR | select.EPOLLHUP
@@ -129,16 +129,20 @@
         return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE")
 
     def listen(self, address, backlog=128) -> Listener:
-        """Opens a listening TCP socket. Raises UnreachableError where the address cannot be used."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        """Opens a listening TCP socket. Raises UnreachableError where the address cannot be used, and
+        HandlesExhaustedError where the system refuses for the moment.
+        """
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(tuple(address))
             sock.listen(backlog)
+            return Listener(self, sock)
         except OSError as error:
-            sock.close()
-            raise UnreachableError(f"cannot listen at {address[0]}:{address[1]}: {error}") from None
-        return Listener(self, sock)
+            if sock is not None:
+                sock.close()
+            raise translate_open_error(error, f"cannot listen at {address[0]}:{address[1]}") from None
 
     def dial(self, address) -> Stream:
         """Starts a TCP connection: wait until the stream is writable, then call `connected`. Raises an
@@ -148,20 +152,26 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
             raise translate_os_error(error) from None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_no_delay(sock)
         code = sock.connect_ex(tuple(address))
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise translate_os_error(OSError(code, os.strerror(code)))
-        return Stream(self, sock)
+        return open_stream(self, sock)
 
     def open_datagrams(self, address) -> Datagrams:
-        """Opens a UDP socket that is bound to the address. Raises OSError where the address cannot be
-        used.
+        """Opens a UDP socket that is bound to the address. Raises UnreachableError where the address cannot
+        be used, and HandlesExhaustedError where the system refuses for the moment.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind(tuple(address))
-        return Datagrams(self, sock)
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(tuple(address))
+            return Datagrams(self, sock)
+        except OSError as error:
+            if sock is not None:
+                sock.close()
+            raise translate_open_error(error, f"cannot bind {address[0]}:{address[1]}") from None
 
     def spawn(self, argv, output, mark="") -> ChildProcess:
         """Starts a process that leads its own session and process group; its output is appended to a file.
--- a/cobaltpond/loop/sockets.py
+++ b/cobaltpond/loop/sockets.py
@@ -98,6 +98,25 @@
             self.close()
 
 
+def set_no_delay(sock: socket.socket) -> None:
+    """Lets small writes leave at once. A connection without it is slower, but serves."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        pass
+
+
+def open_stream(kernel, sock: socket.socket) -> Stream:
+    """Returns the stream of a socket. Where the kernel cannot watch it, the socket is closed and an error of
+    `errors.py` raised.
+    """
+    try:
+        return Stream(kernel, sock)
+    except OSError as error:
+        sock.close()
+        raise translate_os_error(error) from None
+
+
 class Listener(Handle):
     """A listening TCP socket."""
 
@@ -111,8 +130,8 @@
             return None
         except OSError as error:
             raise translate_os_error(error) from None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Stream(self.kernel, sock)
+        set_no_delay(sock)
+        return open_stream(self.kernel, sock)
 
 
 class Datagrams(Handle):
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -2,12 +2,13 @@
 bounded accept loop.
 """
 
-from cobaltpond.loop.errors import ConnectionLostError, HandlesExhaustedError
+from cobaltpond.loop.errors import ConnectionLostError, HandlesExhaustedError, UnreachableError
 from cobaltpond.loop.tasks import Deadline, NextTurn, Readable, Sleep, TaskCancelledError, Writable
 
 CHUNK = 1 << 16  # bytes
 MAX_READS_PER_TURN = 2  # of one connection, so that a fast peer does not hold the loop
 MAX_ACCEPTS_PER_TURN = 64
+OPEN_RETRY_INTERVAL_US = 20_000
 MAX_DRAIN_ATTEMPTS = 50  # attempts to accept the rest of the backlog while no file descriptor is free
 
 
@@ -91,6 +92,22 @@
             handle.close()
 
 
+def open_when_possible(open_now, on_retry=None):
+    """Returns the socket that `open_now()` opens; where the system refuses for the moment, tries again until
+    it does not.
+
+    `on_retry(error)` is called before each further attempt. Raises UnreachableError where the address cannot
+    be used.
+    """
+    while True:
+        try:
+            return open_now()
+        except HandlesExhaustedError as error:
+            if on_retry is not None:
+                on_retry(error)
+            yield Sleep(OPEN_RETRY_INTERVAL_US)
+
+
 def serve(loop, listener, serve_connection, max_open, name, pause=50_000, evict=lambda: False):
     """Accepts connections until it is cancelled and runs `serve_connection(connection)` as a task for
     each.
@@ -123,6 +140,9 @@
             except HandlesExhaustedError:
                 yield Sleep(0 if evict() else pause)
                 continue
+            except (ConnectionLostError, UnreachableError):  # of this connection: accept(2)
+                yield Sleep(pause)
+                continue
             if handle is None:
                 yield Readable(listener)
                 continue
@@ -141,6 +161,9 @@
                 attempts_left -= 1
                 yield Sleep(0 if evict() else pause)
                 continue
+            except (ConnectionLostError, UnreachableError):
+                attempts_left -= 1
+                continue
             if handle is None:
                 break
             open_count[0] += 1
