What clients and instances make a gateway hold is bounded in sum by memory_mb

Cause: every bound was one client's (132 KiB of a message, 16 commands behind an open one, 1 MiB of unread answers), and memory_mb was read for a log line alone. 656 clients, as 1,024 descriptors allow, could make a process hold 85 MB with half requests and over 1 GB with whole ones. Messages that came in pieces were copied anew with each.

Change: gateway/memory_budget.py is one account of large messages. A message over 6 KiB of a client, or 4 KiB of an instance, is read on only once twice its size is reserved; others wait in order, and their bytes stay with the peer. Four tenths are kept for responses. edge/memory_plan.py divides memory_mb: what the process uses, an eighth to spare, an eighth for discovery, feed and desk, 12 KiB a client, the rest for the account; where memory is scarcer than descriptors, fewer clients are let in. While somebody waits, unread answers (0.5 s) are cut off and half requests (0.3 s) refused with 53300, the oldest first; a request that waited 0.7 s for room is refused alike, without effect. The client's connection is divided into input, output and hit.

Why it works: nothing large is kept that was not reserved, and a reservation is given back when its hit and its forwards are over.

--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -5,8 +5,11 @@
 count, responses by one that is not read, and the work in one turn of the loop by reads and commands.
 """
 
-from cobaltpond.gateway.pending_hit import PendingHit
-from cobaltpond.loop import Connection, ConnectionLostError, NextTurn, Readable, Writable
+from cobaltpond.edge.client_input import ClientCommand, ClientInput
+from cobaltpond.edge.client_output import ClientOutput
+from cobaltpond.edge.pg_hit import PgHit
+from cobaltpond.loop import Connection, ConnectionLostError, NextTurn, Readable
+from cobaltpond.loop.streams import CHUNK
 from cobaltpond.wire import pg
 from cobaltpond.wire.statement import PLAIN_NAME, PlatformStatement, StatementError
 
@@ -21,11 +24,11 @@
     def __init__(self, frontend, connection: Connection):
         self.frontend, self.loop, self.connection = frontend, frontend.loop, connection
         self.task = frontend.loop.current  # reads and handles commands: `run`
-        self.parser, self.queued_commands, self.hit = pg.ClientMessageParser(), [], None
+        self.input = ClientInput(frontend.budget, self.task.resume)
+        self.output = ClientOutput(self.loop, connection, frontend.budget, self.on_written)
+        self.hit = None
         self.connected_at = self.last_active = frontend.loop.now()
         self.has_asked = False
-        self.unsent = b""
-        self.writer = None
         self.closing_since = None
         self.discarded_bytes = 0
 
@@ -34,9 +37,10 @@
         """Whether nothing is in progress, neither a hit nor a read or write."""
         return (
             self.hit is None
-            and self.writer is None
+            and not self.output.is_busy
             and self.closing_since is None
-            and not self.parser.has_partial
+            and not self.input.parser.has_partial
+            and not self.input.queued
         )
 
     @property
@@ -46,10 +50,9 @@
         """
         statement = self.hit.statement if self.hit is not None else None
         return (
-            len(self.parser.buffer)
-            + sum(map(len, self.queued_commands))
+            self.input.held_bytes
             + (len(statement.head) + len(statement.tail) if statement is not None else 0)
-            + len(self.unsent)
+            + len(self.output.unsent)
         )
 
     @property
@@ -67,17 +70,19 @@
             elif self.handle_next_command():
                 commands += 1
             else:
-                data = self.connection.read_now() if self.may_read else None
+                size = self.read_size()
+                data = self.connection.read_now(size) if size else None
                 if data is None:
                     commands = 0
                     yield Readable(handle)
                 elif not data or not self.receive(data):
                     return
 
-    @property
-    def may_read(self) -> bool:
-        """Whether more is read from the client: not before it has read its answers."""
-        return self.writer is None or self.closing_since is not None
+    def read_size(self) -> int:
+        """Returns how many bytes may be read now; 0 while answers wait or there is no room."""
+        if self.closing_since is not None:
+            return CHUNK
+        return 0 if self.output.is_busy else self.input.read_size()
 
     def receive(self, data: bytes) -> bool:
         """Takes bytes of the client; returns False where it has sent too much after our side has ended."""
@@ -88,18 +93,18 @@
                 return False
             return True
         self.last_active = self.loop.now()
-        self.parser.add(data)
+        self.input.parser.add(data)
         self.frontend.note_activity(self)
         return True
 
     def handle_next_command(self) -> bool:
         """Handles the next command that has arrived whole; returns False where none may be handled now."""
-        if self.closing_since is not None or self.writer is not None:
+        if self.closing_since is not None or self.output.is_busy:
             return False
-        if self.queued_commands and self.hit is None:
-            self.handle_query(self.queued_commands.pop(0))
+        if self.input.queued and self.hit is None:
+            self.handle_query(self.input.queued.popleft())
             return True
-        event = self.parser.next_event()
+        event = self.input.next_event()
         if event is None:
             return False
         self.handle_event(*event)
@@ -112,10 +117,10 @@
         Unread bytes are read now, and the connection's task handles them. Otherwise a close could cross a
         request in flight, which would be lost or discarded after we have closed our side.
         """
-        if not self.is_idle or self.queued_commands:
+        if not self.is_idle:
             return False
         try:
-            data = self.connection.read_now()
+            data = self.connection.read_now(self.input.read_size())
         except ConnectionLostError:
             return True
         if data:
@@ -124,38 +129,25 @@
         return not data
 
     def send_data(self, data: bytes) -> None:
-        """Sends bytes. What the socket doesn't accept is buffered, within a bound, and written by a task."""
+        """Sends bytes. What the socket doesn't accept waits, and so do the client's next commands."""
         self.last_active = self.loop.now()
-        if self.writer is not None:  # keeps the order behind bytes being written
-            self.unsent += data
-        else:
-            try:
-                sent = self.connection.write_now(data)
-            except ConnectionLostError:
-                self.connection.close()
-                return
-            self.unsent = data[sent:]
-            if self.unsent:
-                self.writer = self.loop.spawn(self.write_rest(), "door-rest")
+        self.output.send(data)
 
-    def write_rest(self):
-        """Writes the buffered bytes; the body of a task."""
-        try:
-            while self.unsent:
-                sent = self.connection.write_now(self.unsent)
-                if sent:  # a slow client that makes progress is not cut off
-                    self.unsent, self.last_active = self.unsent[sent:], self.loop.now()
-                else:
-                    yield Writable(self.connection.handle)
-        except ConnectionLostError:
-            self.unsent = b""
-            self.connection.close()
-        self.writer = None
+    def on_written(self) -> None:
+        """Goes on after bytes that had to wait are written."""
         if self.closing_since is not None:
             self.closing_since = self.loop.now()
             self.connection.handle.finish()
         self.task.resume()  # for the commands that waited
 
+    def close(self) -> None:
+        """Ends what the connection has in progress; the connection itself is closed by its task."""
+        self.abandon_open_hit()
+        self.output.close()
+        self.input.close()
+        # Without these references the connection is freed at once; the garbage collector would free it late.
+        self.task = self.output.on_written = self.input.on_room = None
+
     def half_close(self) -> None:
         """Closes our side first; the connection is closed once the client has closed its side, has sent too
         much, or time is up.
@@ -164,9 +156,8 @@
         """
         if self.closing_since is None:
             self.closing_since = self.loop.now()
-            self.queued_commands.clear()
-            self.parser.discard_all()
-            if self.writer is None:
+            self.input.close()
+            if not self.output.is_busy:
                 self.connection.handle.finish()
 
     def refuse(self, code: str, text: str) -> None:
@@ -192,11 +183,12 @@
     def handle_event(self, kind, value) -> None:
         """Handles one event of `ClientMessageParser`."""
         if kind == "query":
-            if self.hit is None and not self.queued_commands:
+            if self.hit is None and not self.input.queued:
                 self.handle_query(value)
-            elif len(self.queued_commands) < MAX_QUEUED_COMMANDS:
-                self.queued_commands.append(value)
+            elif len(self.input.queued) < MAX_QUEUED_COMMANDS:
+                self.input.queued.append(value)
             else:
+                value.release()
                 self.refuse("54000", f"more than {MAX_QUEUED_COMMANDS} commands wait behind an open one")
         elif kind == "startup":
             self.send_data(pg.startup_response())
@@ -208,42 +200,49 @@
             self.abandon_open_hit()
             self.half_close()
 
-    def handle_query(self, text: bytes) -> None:
+    def handle_query(self, command: ClientCommand) -> None:
         """Handles one simple query: answers it, rejects it, or opens a hit for it."""
-        frontend = self.frontend
         self.has_asked = True
-        if not text.strip(b" \t\r\n;"):
+        if not command.text.strip(b" \t\r\n;"):
             self.send_data(pg.EMPTY_QUERY_RESPONSE)
-            return
-        try:
-            statement = PlatformStatement(text)
-            group = frontend.groups.get(statement.group)
-            if group is None:
-                raise StatementError("no such path group")
-            if statement.customer not in frontend.customers and not PLAIN_NAME.fullmatch(statement.customer):
-                raise StatementError("no such tenant")
-            if not 0 < statement.time_left:
-                raise StatementError("no time to answer in")
-            if group["kind"] == "tagged" and statement.key is None:
-                raise StatementError("this path group needs a key")
-            if statement.id in frontend.open_ids:
-                raise StatementError("a hit of that id is open")
-            if statement.id in frontend.sent_ids:
-                raise StatementError("a hit of that id may have run")
-        except StatementError as error:
-            self.refuse("42601", str(error))
-            return
+        else:
+            try:
+                self.open_hit(self.read_statement(command.text), command)
+            except StatementError as error:
+                self.refuse("42601", str(error))
+        if self.hit is None or self.hit.command is not command:
+            command.release()
+
+    def read_statement(self, text: bytes) -> PlatformStatement:
+        """Parses a statement. Raises StatementError where it must not reach an instance."""
+        frontend, statement = self.frontend, PlatformStatement(text)
+        group = frontend.groups.get(statement.group)
+        if group is None:
+            raise StatementError("no such path group")
+        if statement.customer not in frontend.customers and not PLAIN_NAME.fullmatch(statement.customer):
+            raise StatementError("no such tenant")
+        if not 0 < statement.time_left:
+            raise StatementError("no time to answer in")
+        if group["kind"] == "tagged" and statement.key is None:
+            raise StatementError("this path group needs a key")
+        if statement.id in frontend.open_ids:
+            raise StatementError("a hit of that id is open")
+        if statement.id in frontend.sent_ids:
+            raise StatementError("a hit of that id may have run")
+        return statement
+
+    def open_hit(self, statement: PlatformStatement, command: ClientCommand) -> None:
+        """Opens a hit for a statement, or turns it away where there is no room or no time for it."""
+        frontend = self.frontend
+        group = frontend.groups[statement.group]
         time_left = min(statement.time_left, group["client_timeout"], frontend.time_remaining())
         if frontend.host.is_full() or time_left <= 0:
             frontend.increment("turned away")
-            self.send_data(
-                pg.error_response(
-                    "53300", "no room for a further hit" if time_left > 0 else "this gateway ends"
-                )
-                + pg.READY_FOR_QUERY
-            )
+            text = "no room for a further hit" if time_left > 0 else "this gateway ends"
+            self.send_data(pg.error_response("53300", text) + pg.READY_FOR_QUERY)
             return
-        self.hit = PgHit(self, statement)
+        command.text = b""  # the statement has it
+        self.hit = PgHit(self, statement, command)
         frontend.open_ids[statement.id] = self.hit
         customer = statement.customer if statement.customer in frontend.customers else None
         answer_slack = frontend.host.answer_slack
@@ -261,52 +260,7 @@
     def finish_query(self) -> None:
         """Lets the connection go on with the next command, after the open hit has got its final response."""
         self.hit = None
-        if self.queued_commands or self.parser.has_partial:
+        if self.input.queued or self.input.parser.has_partial:
             self.task.resume()
         elif self.frontend.draining and self.is_quiet():
             self.half_close()
-
-
-class PgHit(PendingHit):
-    """A hit that came over PostgreSQL's protocol."""
-
-    def __init__(self, client: ClientConnection, statement: PlatformStatement):
-        super().__init__(client.frontend.host.next_number(), statement.id.decode(), client.frontend)
-        self.client, self.statement = client, statement
-
-    def is_wanted(self) -> bool:
-        """Returns whether the hit may still be sent to an instance: not once its client has left."""
-        if not self.final and self.client.has_left:
-            self.client.abandon_open_hit()
-        return not self.final
-
-    def note_sent(self) -> None:
-        """Notes that the hit is about to be written to an instance."""
-        if self.frontend.groups[self.statement.group]["kind"] != "repeatable":
-            self.frontend.sent_ids.record(self.statement.id)
-
-    def answer(self, outcome: str, data: bytes) -> None:
-        """Ends the hit with `outcome` and sends the response."""
-        self.finalize(outcome)
-        self.client.send_data(data)
-        self.client.finish_query()
-
-    def deliver(self, value: bytes) -> None:
-        """Sends an instance's response: its messages before ReadyForQuery."""
-        self.answer("delivered", value + pg.READY_FOR_QUERY)
-
-    def reject(self, retry_after: int) -> None:
-        """Rejects the hit. `retry_after` in microseconds; 0 gives no advice."""
-        detail = str(-(-retry_after // 1000)) if retry_after else None
-        self.answer("bounced", pg.error_response("53300", "not taken on now", detail) + pg.READY_FOR_QUERY)
-
-    def fail(self, late: bool) -> None:
-        """Answers with an error; `late`: the time was up."""
-        self.answer(
-            "errored",
-            pg.error_response(
-                "57014" if late else "58000",
-                "no answer in time; it may have run" if late else "it failed; it may have run",
-            )
-            + pg.READY_FOR_QUERY,
-        )
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -11,12 +11,17 @@
 
 from cobaltpond.gateway.endpoints import InstanceEndpoint, NoConnectionError
 from cobaltpond.gateway.forward_results import FORWARD_RESULTS
+from cobaltpond.gateway.memory_budget import MemoryBudget
 from cobaltpond.loop import ConnectionLostError, Deadline, DeadlineExceededError, Writable
+from cobaltpond.loop.streams import CHUNK
 from cobaltpond.wire import pg, pg_responses
 
 USER, DATABASE = "web", "orders"
 REFUSAL_CODES = ("53300",)  # SQLSTATEs by which an instance promises that the hit did not run
 SHOW_TAG = b"SHOW\0"  # command tag of the response to a probe
+SMALL_READ_BYTES = 4 << 10  # that are read of a response without a reservation
+# A large message is held once as it arrives, and once more as the response that is made of it.
+COPIES_OF_A_RESPONSE = 2
 DRAINING_CODES = ("57P03",)  # SQLSTATEs by which a draining instance answers; the hit did not run either
 
 
@@ -30,8 +35,8 @@
     try:
         yield from connection.write(pg.startup_message(USER, DATABASE))
         while not parser.ready:
-            data = yield from connection.read()
-            if not data:
+            data = yield from connection.read(SMALL_READ_BYTES)
+            if not data or parser.missing_bytes() > SMALL_READ_BYTES:
                 raise NoConnectionError("no welcome")
             parser.feed(data)
             if parser.error_code is not None:
@@ -44,10 +49,12 @@
     """Starts forwards and probes, and counts their results.
 
     `is_current(endpoint, since)` says whether the state on which a decision at `since` was based still holds.
+    `budget`: for large responses.
     """
 
-    def __init__(self, loop, endpoints, is_current):
+    def __init__(self, loop, endpoints, is_current, budget: MemoryBudget):
         self.loop, self.endpoints, self.is_current = loop, endpoints, is_current
+        self.budget = budget
         self.result_counts = dict.fromkeys(FORWARD_RESULTS, 0)
         self.surplus_responses = 0  # skipped ahead of the response to a later query
 
@@ -104,6 +111,7 @@
         self.on_write = None  # called before the first byte of the statement is written; None: not called
         self.partly_written = False
         self.fully_written = False
+        self.reserved_bytes, self.reservations = 0, []  # for the large messages of the response
 
     def run(self, is_wanted, deliver, on_result):
         """Runs the forward to its result.
@@ -181,7 +189,7 @@
         parser = self.connection.parser
         try:
             while not parser.done:
-                data = yield from self.connection.read()
+                data = yield from self.connection.read((yield from self.read_size(parser)))
                 if not data:
                     return "cut in the answer" if parser.has_begun else "cut before an answer"
                 parser.feed(data)
@@ -193,6 +201,18 @@
             return "answer"
         return "refusal" if parser.error_code in REFUSAL_CODES + DRAINING_CODES else "server error"
 
+    def read_size(self, parser):
+        """Returns how many bytes may be read; waits where a large message has no room yet."""
+        missing = parser.missing_bytes()
+        if missing <= SMALL_READ_BYTES:
+            return SMALL_READ_BYTES
+        wanted = COPIES_OF_A_RESPONSE * (missing + parser.held_bytes)
+        if wanted > self.reserved_bytes:
+            size = wanted - self.reserved_bytes
+            self.reservations.append((yield from self.forwards.budget.reserve_response(size)))
+            self.reserved_bytes = wanted
+        return min(missing, CHUNK)
+
     def send(self, data, is_wanted):
         """Writes the statement. Returns None once the last byte is written, else a key of FORWARD_RESULTS.
 
@@ -233,8 +253,8 @@
         try:
             with Deadline(self.loop, self.forwards.endpoints.limits.dial_time):
                 while not connection.parser.ready:
-                    data = yield from connection.read()
-                    if not data:
+                    data = yield from connection.read(SMALL_READ_BYTES)
+                    if not data or connection.parser.missing_bytes() > SMALL_READ_BYTES:
                         break
                     connection.parser.feed(data)
         except (DeadlineExceededError, ConnectionLostError, pg.PgProtocolError):
@@ -250,7 +270,12 @@
             self.forwards.endpoints.close(endpoint, connection)
 
     def close(self, result_key):
-        """Releases the connection, if there is one, as the result requires."""
+        """Frees what the response holds, and releases the connection, if there is one, as the result
+        requires.
+        """
+        for reservation in self.reservations:
+            reservation.release()
+        self.reservations.clear()
         connection, self.connection = self.connection, None
         if connection is None:
             return
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -1,10 +1,13 @@
 """Accepts client connections, closes idle and silent ones, and drains them all when the gateway stops.
 
-The number of connections is bounded by the file descriptors of the configuration.
+The number of connections is bounded by the file descriptors of the configuration, and what they hold by its
+memory: see `memory_plan.py`.
 """
 
-from cobaltpond.edge.client_connection import ClientConnection, PgHit
+from cobaltpond.edge.client_connection import ClientConnection
+from cobaltpond.edge.pg_hit import PgHit
 from cobaltpond.edge.sent_ids import SentIds
+from cobaltpond.gateway.memory_budget import MemoryBudget
 from cobaltpond.loop import Sleep, serve
 from cobaltpond.wire import pg
 
@@ -15,7 +18,12 @@
 IDLE_TIMEOUT_WHEN_FULL_US = 300_000  # or after this where a new connection would have to wait
 CLOSE_TIMEOUT_US = 500_000  # how long bytes are read after our side has ended
 SWEEP_INTERVAL_US = 200_000
+# While a message waits for memory: how often and how soon the others are looked at, after which time without
+# progress they are ended, how many at once, and how long a message waits before it is refused.
+RELIEF_INTERVAL_US, RELIEF_DELAY_US, MAX_RELIEFS = 50_000, 100_000, 16
+UNREAD_TIME_WHEN_FULL_US, INCOMPLETE_TIME_WHEN_FULL_US, ROOM_WAIT_TIME_US = 500_000, 300_000, 700_000
 UNLIMITED_US = 1 << 60
+MEMORY_FULL = pg.error_response("53300", "no memory for a request of this size now", fatal=True)
 TOO_MANY_CONNECTIONS = pg.error_response("53300", "too many connections, and nothing was asked", fatal=True)
 SHUTTING_DOWN = pg.error_response("53300", "this gateway ends", fatal=True)
 
@@ -31,16 +39,17 @@
         connection_limit,
         max_connections: int,
         log,
-        max_sent_ids: int = 4096,
+        budget: MemoryBudget,
+        max_sent_ids: int,
     ):
-        """Takes the limits on connections.
+        """Takes the limits on what clients may hold.
 
         `connection_limit()` returns the current maximum of client connections, `max_connections` is the
-        highest one. `max_sent_ids`: see `SentIds`.
+        highest one. `budget`: for large messages. `max_sent_ids`: see `SentIds`.
         """
         self.loop = loop
         self.host = host
-        self.log = log
+        self.log, self.budget = log, budget
         self.connection_limit = connection_limit
         self.max_connections = max_connections
         self.groups = {row["name"]: row for row in policy_settings["path_groups"]}
@@ -103,6 +112,7 @@
             "door",
         )
         self.loop.spawn(self.sweep(), "door-sweep")
+        self.loop.spawn(self.relieve_memory(), "door-relief")
 
     def evict(self) -> bool:
         """Makes room for a new connection; returns whether there is some.
@@ -128,7 +138,7 @@
                         client.send_data(TOO_MANY_CONNECTIONS)
                     client.connection.close()  # no byte is unread, so this ends like a half-close
                     return True
-                if client.parser.has_partial and client.last_active < now and not turned_away:
+                if client.input.parser.has_partial and client.last_active < now and not turned_away:
                     self.increment("evicted")
                     turned_away = True
                     # the descriptor is free once the client has closed, or soon after
@@ -143,9 +153,7 @@
             yield from client.run()
         finally:
             self.clients.pop(client, None)
-            client.abandon_open_hit()
-            if client.writer is not None:
-                client.writer.cancel()
+            client.close()
 
     def note_activity(self, client: ClientConnection) -> None:
         """Moves a client behind all others: the one that has been idle longest comes first."""
@@ -161,14 +169,13 @@
         """Closes the connections whose time is up."""
         now = self.loop.now()
         for client in list(self.clients):
-            if client.writer is not None:
-                if now - client.last_active > SILENT_CLIENT_TIMEOUT_US:
-                    self.increment("unread")
-                    client.connection.abort()
+            if client.output.is_busy:
+                if now - client.output.last_progress > SILENT_CLIENT_TIMEOUT_US:
+                    self.end_unread(client)
             elif client.closing_since is not None:
                 if now - client.closing_since > CLOSE_TIMEOUT_US:
                     client.connection.close()
-            elif client.hit is None and (client.parser.has_partial or not client.has_asked):
+            elif client.hit is None and (client.input.parser.has_partial or not client.has_asked):
                 if (
                     now - (client.last_active if client.has_asked else client.connected_at)
                     > SILENT_CLIENT_TIMEOUT_US
@@ -183,6 +190,50 @@
                     self.increment("evicted")
                     client.half_close()
 
+    def end_unread(self, client: ClientConnection) -> None:
+        """Ends the connection of a client that does not read its answers."""
+        self.increment("unread")
+        client.connection.abort()
+
+    def relieve_memory(self):
+        """Makes room in the memory for those who wait for it. Runs until cancelled."""
+        while True:
+            yield Sleep(RELIEF_INTERVAL_US)
+            if self.budget.waiting_since is not None:
+                self.relieve_memory_once()
+
+    def relieve_memory_once(self) -> None:
+        """Ends what has held memory for longest without progress, and refuses requests that waited in vain.
+
+        A usual client sends its request and reads its answer at once. One that is refused here had no effect
+        yet, and may try again.
+        """
+        now = self.loop.now()
+        if now - self.budget.waiting_since < RELIEF_DELAY_US:
+            return
+        unread = [
+            client
+            for client in self.clients
+            if client.output.is_busy and now - client.output.last_progress > UNREAD_TIME_WHEN_FULL_US
+        ]
+        for client in unread[:MAX_RELIEFS]:
+            self.end_unread(client)
+        incomplete = [
+            client
+            for client in self.clients
+            if client.input.is_reading_large
+            and now - client.input.reservation.granted_at > INCOMPLETE_TIME_WHEN_FULL_US
+        ]
+        incomplete.sort(key=lambda client: client.input.reservation.granted_at)
+        in_vain = [
+            client
+            for client in self.clients
+            if client.input.is_waiting and now - client.input.reservation.requested_at > ROOM_WAIT_TIME_US
+        ]
+        for client in incomplete[:MAX_RELIEFS] + in_vain:
+            self.increment("memory full")
+            client.refuse_connection(MEMORY_FULL)
+
     def half_close_idle(self, idle_time: int) -> None:
         """Closes connections that have had no open request for `idle_time` microseconds.
 
@@ -213,14 +264,14 @@
         yield from self.accepting.join()  # it accepts the rest of the backlog
         self.half_close_idle(0)
         while self.loop.now() < self.answer_deadline and any(
-            c.closing_since is None or c.writer for c in self.clients
+            c.closing_since is None or c.output.is_busy for c in self.clients
         ):
             yield Sleep(10_000)
             self.half_close_idle(NEW_CONNECTION_GRACE_US)
         for hit in list(self.open_ids.values()):
             self.host.answer_overdue(hit)
         for client in list(self.clients):
-            if client.parser.has_partial and client.closing_since is None:
+            if client.input.parser.has_partial and client.closing_since is None:
                 client.refuse_connection(SHUTTING_DOWN)
         flush_end = self.loop.now() + flush
         while self.clients and self.loop.now() < flush_end:
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -4,9 +4,11 @@
 from cobaltpond.edge.discovery import Discovery
 from cobaltpond.edge.forwards import Forwards, handshake
 from cobaltpond.edge.frontend import Frontend
+from cobaltpond.edge.memory_plan import MemoryPlan, plan_memory
 from cobaltpond.edge.platform import PlatformDesk
 from cobaltpond.gateway.decision_host import GatewayDecisionHost
 from cobaltpond.gateway.endpoints import EndpointPool
+from cobaltpond.gateway.memory_budget import MemoryBudget
 from cobaltpond.gateway.peers import Peers
 from cobaltpond.loop import Loop, Sleep, open_when_possible, run_component
 
@@ -33,8 +35,10 @@
     def __init__(self, loop: Loop, path: str, config: Config, log):
         self.loop, self.path, self.config, self.log = loop, path, config, log
         settings = config.policy_settings
+        self.plan = self.plan_memory()
+        self.budget = MemoryBudget(loop, self.plan.pool, self.plan.requests)
         self.endpoints = EndpointPool(loop, config.instances, handshake, self.instance_connection_limit)
-        self.forwards = Forwards(loop, self.endpoints, self.is_current)
+        self.forwards = Forwards(loop, self.endpoints, self.is_current, self.budget)
         self.host = GatewayDecisionHost(
             loop,
             settings,
@@ -52,20 +56,31 @@
             loop, self.host, config.desk, settings.get("vote_wait", 1_000_000), settings["dial_time_out"], log
         )
         self.frontend = Frontend(
-            loop, self.host, settings, self.client_connection_limit, config.client_connection_limit, log
+            loop,
+            self.host,
+            settings,
+            self.client_connection_limit,
+            self.plan.max_clients,
+            log,
+            self.budget,
+            self.plan.max_sent_ids,
         )
         self.stop_requested, self.stop_requested_at, self.max_timer_lag, self.reload_count = False, 0, 0, 0
         loop.on_timer_lag = self.record_timer_lag
 
+    def plan_memory(self) -> MemoryPlan:
+        """Plans the memory by what the process uses now."""
+        return plan_memory(
+            self.config.memory_mb, self.loop.kernel.memory_used(), self.config.client_connection_limit
+        )
+
     def client_connection_limit(self) -> int:
         """Returns the current maximum of client connections.
 
         Clients and instances share the file descriptors, each up to its part; see
         `instance_connection_limit`.
         """
-        return min(
-            self.config.client_connection_limit, self.config.connection_limit - self.endpoints.open_count
-        )
+        return min(self.plan.max_clients, self.config.connection_limit - self.endpoints.open_count)
 
     def instance_connection_limit(self) -> int:
         """Returns the current maximum of connections to instances."""
@@ -192,6 +207,8 @@
                 longest_turn_us=self.loop.take_longest_turn(),
                 memory_bytes=self.loop.kernel.memory_used(),
                 client_bytes=self.frontend.held_bytes(),
+                reserved_bytes=self.budget.used,
+                most_reserved_bytes=self.budget.peak,
                 clients=len(self.frontend.clients),
                 open=self.host.open_hits,
                 hits=len(self.host.pending_hits),
--- /dev/null
+++ b/cobaltpond/edge/memory_plan.py
@@ -0,0 +1,54 @@
+"""Divides the memory of the configuration among what peers can make the gateway hold.
+
+All figures are bytes unless their name says otherwise.
+"""
+
+from dataclasses import dataclass
+
+MB = 1 << 20
+DEFAULT_MEMORY_BYTES = 192 * MB  # where the configuration names none: the most that the platform gives
+SPARE_SHARE = 1 / 8  # for garbage, fragments, and what one step of the loop holds for a moment
+CONTROL_SHARE = 1 / 8  # for what discovery, feed and desk send, and the list that is made of it
+CONNECTIONS_SHARE = 1 / 2  # of what the process leaves
+SENT_IDS_SHARE = 1 / 64
+MIN_POOL_SHARE = 1 / 16  # however little is left
+REQUESTS_SHARE = 0.6  # of the pool; the rest is for responses
+CLIENT_BYTES = 12 << 10  # of one client's connection with its request, without what it reserves
+SENT_ID_BYTES = 160  # of one remembered id
+INSTANCE_BYTES = 4 << 10  # of one listed instance
+
+
+@dataclass(frozen=True)
+class MemoryPlan:
+    """The shares of one process: `pool` for large messages of clients and instances, of which `requests` for
+    requests; `control` for messages of discovery, feed and desk; and counts.
+    """
+
+    limit: int
+    pool: int
+    requests: int
+    control: int
+    max_clients: int
+    max_sent_ids: int
+    max_instances: int
+
+
+def plan_memory(limit_mb: float, used: int, client_limit: int) -> MemoryPlan:
+    """Plans for a limit in MB (0: none is known), `used` bytes of a process without peers, and at most
+    `client_limit` clients.
+    """
+    limit = int(limit_mb * MB) or DEFAULT_MEMORY_BYTES
+    control, sent_ids = int(limit * CONTROL_SHARE), int(limit * SENT_IDS_SHARE)
+    available = max(0, limit - used - int(limit * SPARE_SHARE))
+    max_clients = min(client_limit, max(1, int(available * CONNECTIONS_SHARE) // CLIENT_BYTES))
+    left = available - control - sent_ids - max_clients * CLIENT_BYTES
+    pool = max(int(limit * MIN_POOL_SHARE), left)
+    return MemoryPlan(
+        limit,
+        pool,
+        int(pool * REQUESTS_SHARE),
+        control,
+        max_clients,
+        sent_ids // SENT_ID_BYTES,
+        control // INSTANCE_BYTES,
+    )
--- a/cobaltpond/gateway/decision_host.py
+++ b/cobaltpond/gateway/decision_host.py
@@ -119,7 +119,8 @@
     def drop_finished(self, hit: PendingHit) -> None:
         """Forgets the hit once it is final and none of its forwards runs."""
         if hit.final and all(task is None or task.done for task in hit.forwards):
-            self.pending_hits.pop(hit.number, None)
+            if self.pending_hits.pop(hit.number, None) is not None:
+                hit.release()
 
     def abandon_hit(self, hit: PendingHit) -> None:
         """Cancels a hit whose client disconnected or sent a malformed body; does nothing where it is
--- a/cobaltpond/gateway/pending_hit.py
+++ b/cobaltpond/gateway/pending_hit.py
@@ -27,6 +27,9 @@
         # tasks of the forwards, None where nothing was sent; the `ForwardResult` of the last that ended
         self.forwards, self.last_result = [], None
 
+    def release(self) -> None:
+        """Frees what the hit holds; called once it is final and none of its forwards runs."""
+
     def finalize(self, outcome: str) -> None:
         """Changes the state from open to the final `outcome`: the only place where a hit becomes final.
 
--- a/cobaltpond/wire/pg_responses.py
+++ b/cobaltpond/wire/pg_responses.py
@@ -79,7 +79,7 @@
     """
 
     def __init__(self):
-        self.pending, self.ready, self.is_clean, self.started = b"", False, True, False
+        self.pending, self.ready, self.is_clean, self.started = bytearray(), False, True, False
         self.surplus_responses = 0
         self.expect(None)
 
@@ -103,6 +103,11 @@
         """RowDescription, DataRow and CommandComplete as they were received."""
         return b"".join(self.parts)
 
+    @property
+    def held_bytes(self) -> int:
+        """How many bytes of the response are kept."""
+        return len(self.pending) + sum(map(len, self.parts))
+
     @property
     def shown_value(self) -> bytes | None:
         """The row's only column; None before the row."""
@@ -128,37 +133,48 @@
         if self.ready:  # these bytes follow no query
             self.is_clean = False
             return
-        if self.pending:
-            data = self.pending + data
-        offset, size = 0, len(data)
+        self.pending += data
         try:
-            while offset < size and not self.ready:
-                length = self.message_length(data, offset, size)
-                if length is None or size - offset <= length:
-                    break
-                self.handle_message(data[offset], data, offset, offset + 1 + length)
-                offset += 1 + length
+            self.handle_messages()
         except PgProtocolError:
+            self.pending = bytearray()
             if not self.done:
                 raise
             self.is_clean = False  # the response was complete before the fault
-            self.pending = b""
-            return
-        self.pending = data[offset:]
         if self.ready and self.pending:
             self.is_clean = False
 
-    def message_length(self, data, offset, size) -> int | None:
+    def handle_messages(self) -> None:
+        """Handles the messages that have arrived whole. Raises PgProtocolError."""
+        offset = 0
+        try:
+            while offset < len(self.pending) and not self.ready:
+                length = self.message_length(offset)
+                if length is None or len(self.pending) - offset <= length:
+                    break
+                with memoryview(self.pending) as view:
+                    message = bytes(view[offset : offset + 1 + length])
+                offset += 1 + length
+                self.handle_message(message)
+        finally:
+            del self.pending[:offset]
+
+    def missing_bytes(self) -> int:
+        """Returns how many bytes of the message that has begun are still to come; 0 where it is not known."""
+        length = self.message_length(0) if self.pending and not self.ready else None
+        return 0 if length is None else length + 1 - len(self.pending)
+
+    def message_length(self, offset: int) -> int | None:
         """Returns the length of the message at `offset`, its own four bytes included; None while it is
         unknown.
 
         The length is checked before the rest has arrived. Raises PgProtocolError.
         """
-        if data[offset] not in SERVER_MESSAGES:
-            raise PgProtocolError("08P01", f"no message begins with {data[offset]:#x}")
-        if size - offset < HEADER_BYTES:
+        if self.pending[offset] not in SERVER_MESSAGES:
+            raise PgProtocolError("08P01", f"no message begins with {self.pending[offset]:#x}")
+        if len(self.pending) - offset < HEADER_BYTES:
             return None
-        (length,) = _UINT32.unpack_from(data, offset + 1)
+        (length,) = _UINT32.unpack_from(self.pending, offset + 1)
         if not 4 <= length <= MAX_VALUE_BYTES + 64:
             raise PgProtocolError("08P01", f"a message of {length} bytes")
         return length
@@ -173,9 +189,9 @@
             self.surplus_responses += barrier.surplus_responses
             self.barrier = None
 
-    def handle_message(self, kind: int, data: bytes, offset: int, end: int) -> None:
-        """Handles the complete message in data[offset:end]. Raises PgProtocolError."""
-        body = data[offset + HEADER_BYTES : end]
+    def handle_message(self, message: bytes) -> None:
+        """Handles a complete message. Raises PgProtocolError."""
+        kind, body = message[0], message[HEADER_BYTES:]
         if self.barrier is not None:
             if not (kind == ERROR and is_fatal_error(body)):
                 self.handle_message_before_barrier(kind, body)
@@ -184,16 +200,16 @@
         if kind == DATA_ROW and self.has_description and not self.has_row and not self.done:
             check_row(body)
             self.has_row = True
-            self.parts.append(data[offset:end])
+            self.parts.append(message)
         elif kind == ROW_DESCRIPTION and self.tag is not None and not self.has_description and not self.done:
             check_description(body)
             self.has_description = True
-            self.parts.append(data[offset:end])
+            self.parts.append(message)
         elif kind == COMMAND_COMPLETE and self.has_row and not self.done:
             if body != self.tag:
                 raise PgProtocolError("08P01", f"the command ended as {body[:40]!r}")
             self.is_complete = True
-            self.parts.append(data[offset:end])
+            self.parts.append(message)
         elif kind == READY_FOR_QUERY:
             if body not in READY_STATES or not (self.done or self.tag is None):
                 raise PgProtocolError("08P01", "ready before an answer")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -130,7 +130,7 @@
         client = yield from idle_client(world, statement(2))
         whole = pg.query_message(statement(7))
         yield from client.connection.write(whole[:half])
-        yield from world.until(lambda: any(c.parser.has_partial for c in world.edge.frontend.clients))
+        yield from world.until(lambda: any(c.input.parser.has_partial for c in world.edge.frontend.clients))
         world.edge.stop("TERM")
         # the idle connection is closed, the partial request is not
         assert (yield from idle.read())[-1][0] == b"end"
--- a/tests/test_crossings_ends.py
+++ b/tests/test_crossings_ends.py
@@ -139,11 +139,11 @@
         (owner,) = world.edge.frontend.clients
         owner.connection.handle.sock.setsockopt(1, 7, 4096)  # SOL_SOCKET, SO_SNDBUF
         owner.send_data(pg.message(b"N", b"x" * notice_bytes))  # a notice that exceeds the socket buffers
-        assert owner.writer is not None
+        assert owner.output.writer is not None
         yield from client.send(statement(1))
         drain = world.loop.spawn(world.edge.frontend.drain(20 * MS, 1_200 * MS), "drain")
         yield Sleep(900 * MS)  # longer than a client may take to close after our end of file
-        assert owner.unsent and not drain.done
+        assert owner.output.unsent and not drain.done
         got = yield from client.read()
         yield from drain.join()
         return outcome_of(got), len(got[0][1]) == notice_bytes, (yield from client.read())
