A kept connection no longer holds the last response that came over it

What callers saw: with 400 clients that do not read, values of 64 KiB and 32 MB a process held 33.6 MB, over its limit, although what was reserved had been given back.

Cause: the parser of an idle connection kept the parts of its last response until the next query: up to 563 connections of 64 KiB.

Change: they are dropped when the connection is returned.

--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -264,6 +264,7 @@
 
     def return_connection(self, endpoint, connection):
         """Returns a connection to the pool, or closes it where unread or invalid bytes make it unusable."""
+        connection.parser.forget_response()
         if connection.parser.reusable:
             self.forwards.endpoints.release(endpoint, connection)
         else:
--- a/cobaltpond/wire/pg_responses.py
+++ b/cobaltpond/wire/pg_responses.py
@@ -98,6 +98,11 @@
         self.skipped_messages = 0
         self.parts = []
 
+    def forget_response(self) -> None:
+        """Frees what is kept of the response, once it has been used."""
+        self.parts = []
+        self.gauges = None
+
     @property
     def value(self) -> bytes:
         """RowDescription, DataRow and CommandComplete as they were received."""
--- a/tests/test_late_duplicates.py
+++ b/tests/test_late_duplicates.py
@@ -4,7 +4,7 @@
 
 import pytest
 from pgcrossings import MS, policy_limits
-from pgworld import PgWorld, command_tag, outcome_of, query_script, row, statement
+from pgworld import PgWorld, answer_script, command_tag, outcome_of, query_script, row, statement
 
 from cobaltpond.loop import Sleep
 from cobaltpond.wire import pg
@@ -250,3 +250,17 @@
     outcomes = world.run(go())
     assert outcomes == [("delivered", b"%04x" % number) for number in range(1, 9)]
     assert world.forward_results().get("refusal", 0) > 0 and len(world.received) == 8
+
+
+def test_kept_connection_holds_nothing_of_its_last_response(each_kernel):
+    """Guards against hundreds of kept connections that each hold the largest response."""
+    world = PgWorld(answer_script(lambda text, _: row(b"x" * 60_000, command_tag(text)) + pg.READY_FOR_QUERY))
+
+    def go():
+        (outcome,) = yield from world.query(statement(1))
+        yield from world.until(lambda: any(endpoint.idle for endpoint in world.edge.endpoints.by_id.values()))
+        return outcome[0]
+
+    assert world.run(go()) == "delivered"
+    ((connection, _),) = world.edge.endpoints.by_id["s-0"].idle
+    assert connection.parser.held_bytes == 0
