Discovery, feed and a peer gateway that send too much: failing tests with a real process

Cause: not mended here; the same mistake as with clients, looked for in what the gateway's other peers may send.

--- a/bench/crowd/fleet.py
+++ b/bench/crowd/fleet.py
@@ -8,8 +8,9 @@
 
 from bench.crowd.clients import Traffic, is_ready
 from bench.crowd.gateway_process import MAX_READY_S, READY_POLL_S, GatewayProcess, Limits
+from bench.crowd.hostile import HostileDiscovery, HostilePlatform
 from bench.crowd.protocol import insert, query, startup_message
-from bench.crowd.standins import Discovery, Instance, Platform
+from bench.crowd.standins import Instance
 
 INSTANCES = 3
 # an attempt that begins later than this after its client's close is a break; sockets get 50 ms more
@@ -19,8 +20,8 @@
 class Fleet:
     """Stand-ins and gateways of one play."""
 
-    def __init__(self, folder: Path, work_s: float, value_bytes: int):
-        self.folder = folder
+    def __init__(self, folder: Path, work_s: float, value_bytes: int, with_peers: bool):
+        self.folder, self.with_peers = folder, with_peers
         self.instances = [Instance(f"s-{n}", work_s, value_bytes) for n in range(INSTANCES)]
         self.gateways: list[GatewayProcess] = []
 
@@ -28,9 +29,12 @@
         """Starts everything and waits until all gateways are ready."""
         for instance in self.instances:
             await instance.start()
-        discovery, platform = await Discovery(self.instances).start(), await Platform().start()
+        self.discovery = await HostileDiscovery(self.instances).start()
+        self.platform = await HostilePlatform().start()
         for number in range(gateways):
-            gateway = GatewayProcess(f"n{number}", self.folder, limits, discovery.port, platform)
+            gateway = GatewayProcess(f"n{number}", self.folder, limits, self.discovery.port, self.platform)
+            if self.with_peers:
+                gateway.add_peer()
             self.gateways.append(gateway)
             gateway.start()
         await asyncio.gather(*(self.until_ready(gateway) for gateway in self.gateways))
@@ -59,10 +63,12 @@
 
 
 @asynccontextmanager
-async def fleet(limits: Limits, gateways: int = 1, work_s: float = 0.02, value_bytes: int = 0):
+async def fleet(
+    limits: Limits, gateways: int = 1, work_s: float = 0.02, value_bytes: int = 0, with_peers: bool = False
+):
     """Gives a running fleet, and ends its processes."""
     with tempfile.TemporaryDirectory() as folder:
-        running = Fleet(Path(folder), work_s, value_bytes)
+        running = Fleet(Path(folder), work_s, value_bytes, with_peers)
         try:
             await running.start(gateways, limits)
             yield running
--- a/bench/crowd/gateway_process.py
+++ b/bench/crowd/gateway_process.py
@@ -70,6 +70,22 @@
             "settings": SETTINGS,
         }
 
+    def add_peer(self) -> None:
+        """Gives the gateway a peer at a socket of this process: `peer`."""
+        self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.peer.bind(("127.0.0.1", 0))
+        self.peer.setblocking(False)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.peer_address = probe.getsockname()
+        own, other = (f"127.0.0.1:{port}" for port in (self.peer_address[1], self.peer.getsockname()[1]))
+        limits = {**SETTINGS["policyLimits"], "peers": True}
+        self.configuration.update(
+            peer_listen=own,
+            peers=[own, other],
+            settings={**SETTINGS, "balancers": 2, "policyLimits": limits},
+        )
+
     @property
     def log_path(self) -> Path:
         """Where the log of all lives is written."""
--- a/bench/crowd/standins.py
+++ b/bench/crowd/standins.py
@@ -68,9 +68,13 @@
 
     def entry(self) -> dict:
         """Returns discovery's entry of this instance."""
+        return {**self.entry_form(), "dial": f"127.0.0.1:{self.port}"}
+
+    def entry_form(self) -> dict:
+        """Returns the entry without the port, which is known once the instance listens."""
         return {
             "host": self.name,
-            "dial": f"127.0.0.1:{self.port}",
+            "dial": "127.0.0.1:1",
             "site": "tallinn-dc",
             "class": "small-2c",
             "block": 0,
