Datagrams of peer gateways are read a bounded number a turn

What callers saw: a peer that sends datagrams at full speed stopped the gateway for 6 s and brought it to 118.4 of 32 MB.

Cause: Peers.listen read until its socket was empty, and each datagram became an event that is handled at the end of the turn.

Change: 64 datagrams a turn; the others wait in the socket, whose buffer the system bounds.

--- a/cobaltpond/gateway/peers.py
+++ b/cobaltpond/gateway/peers.py
@@ -2,13 +2,14 @@
 
 import struct
 
-from cobaltpond.loop import Readable
+from cobaltpond.loop import NextTurn, Readable
 
 # `HEADER_FORMAT`: struct format of the header (magic, number of the sender, length of the payload). `MAGIC`:
 # the magic of a message of the decisions.
 HEADER_FORMAT, MAGIC = ">2sHH", b"cp"
 MEMBERSHIP_MAGIC = b"cm"  # the magic of membership datagrams, which are accepted only where membership runs
 MAX_DATAGRAM_BYTES = 256  # header included
+MAX_DATAGRAMS_PER_TURN = 64  # that are read in one turn of the loop; the others wait in the socket
 
 
 class Peers:
@@ -53,28 +54,32 @@
 
         One that is malformed, or not from a configured gateway, is counted and dropped.
         """
-        header_size = struct.calcsize(HEADER_FORMAT)
+        received_in_turn = 0
         while True:
             received = self.handle.recv(2048)
             if received is None:
+                received_in_turn = 0
                 yield Readable(self.handle)
                 continue
-            data, sender = received
-            if len(data) < header_size:
-                self.counts["odd"] += 1
-                continue
-            magic, number, length = struct.unpack(HEADER_FORMAT, data[:header_size])
-            known = magic == MAGIC or magic == MEMBERSHIP_MAGIC and self.on_membership is not None
-            if (
-                not known
-                or self.numbers.get(sender) != number
-                or length != len(data) - header_size
-                or len(data) > MAX_DATAGRAM_BYTES
-            ):
-                self.counts["odd"] += 1
-                continue
-            self.counts["heard"] += 1
-            if magic == MEMBERSHIP_MAGIC:
-                self.on_membership(number, data[header_size:])
-            else:
-                self.host.post_event("on_peer", number, data[header_size:])
+            self.receive(*received)
+            received_in_turn += 1
+            if received_in_turn == MAX_DATAGRAMS_PER_TURN:
+                received_in_turn = 0
+                yield NextTurn()
+
+    def receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Handles one datagram."""
+        header_size = struct.calcsize(HEADER_FORMAT)
+        if not header_size <= len(data) <= MAX_DATAGRAM_BYTES:
+            self.counts["odd"] += 1
+            return
+        magic, number, length = struct.unpack(HEADER_FORMAT, data[:header_size])
+        known = magic == MAGIC or magic == MEMBERSHIP_MAGIC and self.on_membership is not None
+        if not known or self.numbers.get(sender) != number or length != len(data) - header_size:
+            self.counts["odd"] += 1
+            return
+        self.counts["heard"] += 1
+        if magic == MEMBERSHIP_MAGIC:
+            self.on_membership(number, data[header_size:])
+        else:
+            self.host.post_event("on_peer", number, data[header_size:])
