Builds, keys and feeds are bounded: ever new names no longer cost memory and time

What callers saw: with a feed that names ever new revisions at full speed 6 usual requests got no answer within 7 s.

Cause: the decisions kept a record of each build that news or a list had named, and each new one was compared with all of them. A read of a stream took 64 KiB and handled all its objects in one step; a line could have 4 MiB at three streams, and the rest of a line was copied with each read. Where keys stay, bound keys were remembered until the next stage, whatever their number.

Change: beyond 64 builds those that nothing uses are forgotten (listed instances, the newest, the one before it, the blocked one, kept keys, the last vote). Bound keys have a limit from the settings, the oldest goes. Streams are read 4 KiB at a time, lines of the platform's feed may have 64 KiB, and a line is gathered in one buffer.

Below 64 builds no decision changes.

--- a/cobaltpond/decisions/choosing.py
+++ b/cobaltpond/decisions/choosing.py
@@ -4,6 +4,7 @@
 """
 
 from itertools import islice
+from math import inf
 from statistics import fmean
 
 from cobaltpond.decisions.stats import SECOND, rendezvous_weight
@@ -195,6 +196,14 @@
         newest = self.newest and self.newest.number
         self.kept_keys.update({key: self.newest for key, build in keys if build == newest})
 
+    def keep_key(self, key, build):
+        """Records the build that served a key. It is never lowered: a forward to the earlier build may be
+        answered after one to the newer build. Beyond the limit the key that was recorded first is dropped."""
+        earlier = self.kept_keys.get(key, build)
+        self.kept_keys[key] = max(earlier, build, key=lambda served: served.number)
+        if len(self.kept_keys) > self.settings.get("most_kept_keys", inf):
+            del self.kept_keys[next(iter(self.kept_keys))]
+
     def pick_instance(self, hit, now):
         """Returns the next instance in turn (round robin) of the eligible ones with nearly the least queue
         cost; None where there is none. A low-traffic gateway whose dials or probes fail keeps to instances
--- a/cobaltpond/decisions/records.py
+++ b/cobaltpond/decisions/records.py
@@ -157,6 +157,15 @@
                     later.earlier = new_build
         return self.builds[number]
 
+    def forget_builds(self, in_use):
+        """Drops the builds that no listed instance runs and that are not among `in_use`."""
+        kept = {instance.build.number: instance.build for instance in self.by_id.values()}
+        kept |= {build.number: build for build in in_use}
+        self.builds = {number: build for number, build in self.builds.items() if number in kept}
+        for build in self.builds.values():
+            if build.earlier is not None and build.earlier.number not in self.builds:
+                build.earlier = None
+
     def update(self, whole, rows, create_instance):
         """Applies the list, or changes to it where `whole` is false. `create_instance(row)` makes
         the record of a new or restarted instance or of an id in use again; nothing known under that id is
--- a/cobaltpond/decisions/rules.py
+++ b/cobaltpond/decisions/rules.py
@@ -156,6 +156,7 @@
                 row, self.fleet, INITIAL_INFLIGHT_LIMIT, self.random_source.randbelow(SECOND) / SECOND
             ),
         )
+        self.limit_builds()
         # a random start keeps the gateways from going round the instances in step
         if not self.last_chosen_id and self.fleet.ids:
             self.last_chosen_id = self.fleet.ids[self.random_source.randbelow(len(self.fleet.ids))]
@@ -331,12 +332,7 @@
             self.add_evidence(forward, hit.group, result, duration, now)
         self.record_outcome(forward.instance, hit.group, "moot" if excused else result, duration, report, now)
         if result == "ok" and self.settings.get("keys_stay") and hit.key is not None:
-            # never lowered: a forward to the earlier build may be answered after one to the newer build
-            self.kept_keys[hit.key] = max(
-                self.kept_keys.get(hit.key, forward.instance.build),
-                forward.instance.build,
-                key=lambda build: build.number,
-            )
+            self.keep_key(hit.key, forward.instance.build)
         if executed and hit.first_executed is None:
             hit.first_executed = forward
         if hit.ended:
--- a/cobaltpond/decisions/voting.py
+++ b/cobaltpond/decisions/voting.py
@@ -6,6 +6,7 @@
 from cobaltpond.decisions.judging import ASSESS_PERIOD_US, MIN_SAMPLES
 from cobaltpond.decisions.stats import SECOND
 
+MAX_BUILDS = 64  # that are remembered, beside those in use
 # `READY_DELAY_US`: "on" is voted this long after a stage's instances have started. `MAX_HOLD_US`: longest
 # time for which a suspect build's stage is held or waits.
 READY_DELAY_US, MAX_HOLD_US = 16 * SECOND // 5, 3 * SECOND
@@ -31,6 +32,7 @@
         self.phase = phase
         self.cap = cap
         self.stage_started_at = now - age
+        self.limit_builds()
         if phase != "released" and (before is None or cap < before):
             desk_build.counted_from = now + self.settings.get("drain_grace", 0)
         self.wake_by(now + self.random_source.randbelow(ASSESS_PERIOD_US), now)
@@ -43,6 +45,15 @@
         self.blocked_build = None if build is None else self.fleet.build(build)
         self.dispatch_held(now)
 
+    def limit_builds(self):
+        """Forgets builds where lists and news have named very many: memory must not grow with them."""
+        if len(self.fleet.builds) <= MAX_BUILDS:
+            return
+        voted = self.last_vote[0] if self.last_vote else None
+        earlier = self.newest.earlier if self.newest else None
+        in_use = [self.newest, earlier, self.blocked_build, voted, *self.kept_keys.values()]
+        self.fleet.forget_builds([build for build in in_use if build is not None])
+
     def is_ready_to_advance(self, now):
         """Returns whether the stage has had its delay since the last listed start of its instances, or since
         the latest time at which they can have started."""
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -34,8 +34,8 @@
 
     def __init__(self, loop: Loop, path: str, config: Config, log):
         self.loop, self.path, self.config, self.log = loop, path, config, log
-        settings = config.policy_settings
         self.plan = self.plan_memory()
+        settings = {**config.policy_settings, "most_kept_keys": self.plan.max_kept_keys}
         self.budget = MemoryBudget(loop, self.plan.pool, self.plan.requests)
         self.endpoints = EndpointPool(loop, config.instances, handshake, self.instance_connection_limit)
         self.forwards = Forwards(loop, self.endpoints, self.is_current, self.budget)
--- a/cobaltpond/edge/memory_plan.py
+++ b/cobaltpond/edge/memory_plan.py
@@ -15,6 +15,8 @@
 REQUESTS_SHARE = 0.6  # of the pool; the rest is for responses
 CLIENT_BYTES = 12 << 10  # of one client's connection with its request, without what it reserves
 SENT_ID_BYTES = 160  # of one remembered id
+KEPT_KEYS_SHARE = 1 / 64
+KEPT_KEY_BYTES = 160  # of one key that is bound to a build
 INSTANCE_BYTES = 4 << 10  # of one listed instance
 
 
@@ -30,6 +32,7 @@
     control: int
     max_clients: int
     max_sent_ids: int
+    max_kept_keys: int
     max_instances: int
 
 
@@ -39,9 +42,10 @@
     """
     limit = int(limit_mb * MB) or DEFAULT_MEMORY_BYTES
     control, sent_ids = int(limit * CONTROL_SHARE), int(limit * SENT_IDS_SHARE)
+    kept_keys = int(limit * KEPT_KEYS_SHARE)
     available = max(0, limit - used - int(limit * SPARE_SHARE))
     max_clients = min(client_limit, max(1, int(available * CONNECTIONS_SHARE) // CLIENT_BYTES))
-    left = available - control - sent_ids - max_clients * CLIENT_BYTES
+    left = available - control - sent_ids - kept_keys - max_clients * CLIENT_BYTES
     pool = max(int(limit * MIN_POOL_SHARE), left)
     return MemoryPlan(
         limit,
@@ -50,5 +54,6 @@
         control,
         max_clients,
         sent_ids // SENT_ID_BYTES,
+        kept_keys // KEPT_KEY_BYTES,
         control // INSTANCE_BYTES,
     )
--- a/cobaltpond/edge/platform.py
+++ b/cobaltpond/edge/platform.py
@@ -12,6 +12,7 @@
 BALLOT_DECISIONS = {"none": "abstain", "on": "promote", "hold": "pause", "back": "abort"}
 BALLOTS_PATH, FEED_PATH = "/v2/projects/main/ballots", "/v2/projects/main/feed"
 FEED_SILENCE_TIMEOUT_US = 3_000_000  # the feed sends at least an empty object each second
+MAX_FEED_LINE_BYTES = 64 << 10  # of one object of the feed
 PHASE_ORDER = ("trial", "released", "going back", "withdrawn")
 # Number of builds, beside the latest, whose last drop of the cap is remembered; a forward dials for about a
 # second.
@@ -140,6 +141,7 @@
             self.dial_time,
             Backoff(50_000, 1_000_000, self.loop.kernel.random_seed()),
             on_error,
+            max_line_bytes=MAX_FEED_LINE_BYTES,
         )
 
     def cast_vote(self, build, stage, verdict):
--- a/cobaltpond/rpc/streams.py
+++ b/cobaltpond/rpc/streams.py
@@ -4,10 +4,11 @@
 from cobaltpond.rpc.client import CALL_ERRORS, Backoff
 from cobaltpond.rpc.late_reads import LateReads
 from cobaltpond.wire import http1
-from cobaltpond.wire.json_lines import JsonLineParser
+from cobaltpond.wire.json_lines import MAX_LINE_BYTES, JsonLineParser
 
 # Bytes. The lines of a stream have a limit of their own (`JsonLineParser`).
 STREAM_LIMITS = http1.MessageLimits(head=64 << 10, body=1 << 40)
+READ_BYTES = 4 << 10  # in one read: its objects are handled in one step of the task
 MAX_SILENT_STREAMS = 2  # that stay open beside the newest one
 
 
@@ -17,8 +18,9 @@
     Call `connect` first; then `next_objects` gives lists of objects until the peer ends the stream.
     """
 
-    def __init__(self, loop, address):
+    def __init__(self, loop, address, max_line_bytes: int = MAX_LINE_BYTES):
         self.loop, self.address, self.connection = loop, address, None
+        self.max_line_bytes = max_line_bytes
 
     def connect(self, target: str, dial_time: int):
         """Connects and sends the request; the response is read by `next_objects`. `dial_time`: microseconds.
@@ -28,7 +30,7 @@
         self.connection = yield from dial(self.loop, self.address, dial_time)
         host = f"{self.address[0]}:{self.address[1]}".encode()
         yield from self.connection.write(http1.request("GET", target, [(b"host", host)]))
-        self.parser, self.lines = http1.ResponseParser(STREAM_LIMITS), JsonLineParser()
+        self.parser, self.lines = http1.ResponseParser(STREAM_LIMITS), JsonLineParser(self.max_line_bytes)
 
     def next_objects(self):
         """The next objects, at least one; None at the end of the stream.
@@ -37,7 +39,7 @@
         """
         objects = []
         while not objects:
-            data = yield from self.connection.read()
+            data = yield from self.connection.read(READ_BYTES)
             for kind, value in self.parser.feed(data) if data else self.parser.closed():
                 if kind == "head" and value.status != 200:
                     raise ConnectionLostError(f"status {value.status}")
@@ -60,8 +62,9 @@
     speaks first is followed. So a peer that is slower than the time limit is heard too.
     """
 
-    def __init__(self, loop, address, silence_timeout: int):
+    def __init__(self, loop, address, silence_timeout: int, max_line_bytes: int):
         self.loop, self.address, self.silence_timeout = loop, address, silence_timeout
+        self.max_line_bytes = max_line_bytes
         self.silent = LateReads(loop, MAX_SILENT_STREAMS)
         self.stream = None
 
@@ -69,7 +72,7 @@
         """Opens the newest stream, unless a silent one has spoken meanwhile."""
         if self.silent.first is not None:
             return
-        self.stream = LineStream(self.loop, self.address)
+        self.stream = LineStream(self.loop, self.address, self.max_line_bytes)
         try:
             with self.silent.deadline(self.silence_timeout):
                 yield from self.stream.connect(target(), dial_time)
@@ -116,6 +119,7 @@
     backoff: Backoff,
     on_broken,
     extra_errors=(),
+    max_line_bytes: int = MAX_LINE_BYTES,
 ):
     """Follows a stream of JSON lines and reconnects for ever.
 
@@ -123,9 +127,9 @@
     `on_broken(error)` receives what CALL_ERRORS names, DeadlineExceededError, and `extra_errors`, which
     `on_objects` may raise. A stream without data for `silence_timeout` microseconds counts as broken, because
     a peer may fail without closing its connection; it is still heard if it speaks before its successor.
-    `dial_time`: microseconds.
+    `dial_time`: microseconds. `max_line_bytes`: a longer line is an error.
     """
-    follower = StreamFollower(loop, address, silence_timeout)
+    follower = StreamFollower(loop, address, silence_timeout, max_line_bytes)
     try:
         while True:
             try:
--- a/cobaltpond/settings/deployment.py
+++ b/cobaltpond/settings/deployment.py
@@ -27,6 +27,8 @@
     RuleSettings,
 )
 
+KEPT_KEYS_PER_CONNECTION = 64  # idempotency keys that are remembered for each client connection
+
 
 class DeploymentSettings(Struct, frozen=True):
     """Everything that a settings file declares; the sections say what the fields mean.
@@ -136,6 +138,7 @@
             "exposure_by": release.exposure_by,
             "shielded_stages": release.shielded_stages,
             "keys_stay": release.keys_stay,
+            "most_kept_keys": KEPT_KEYS_PER_CONNECTION * self.door.connections,
             "vote_life": release.vote_life,
             "vote_wait": release.vote_wait,
             "vote_rate": release.vote_rate,
--- a/cobaltpond/wire/json_lines.py
+++ b/cobaltpond/wire/json_lines.py
@@ -2,6 +2,8 @@
 
 import json
 
+MAX_LINE_BYTES = 4 << 20  # of a line that may hold a whole list
+
 
 class JsonLineError(Exception):
     """A line is no JSON object, or is longer than the limit."""
@@ -26,20 +28,19 @@
     """Splits a stream of bytes into objects; an incomplete line waits for its rest, up to
     `max_line_bytes`."""
 
-    def __init__(self, max_line_bytes: int = 4 << 20):
-        self.max_line_bytes, self.rest = max_line_bytes, b""
+    def __init__(self, max_line_bytes: int = MAX_LINE_BYTES):
+        self.max_line_bytes, self.rest = max_line_bytes, bytearray()
 
     def feed(self, data: bytes) -> list[dict]:
         """Returns the objects that these bytes complete. Raises JsonLineError."""
-        complete_lines, _, rest = (self.rest + data).rpartition(b"\n")
-        if len(rest) > self.max_line_bytes:
+        head, separator, rest = data.rpartition(b"\n")
+        if len(rest) + (0 if separator else len(self.rest)) > self.max_line_bytes:
             raise JsonLineError(f"a line of more than {self.max_line_bytes} bytes")
-        self.rest = rest
-        objects = []
-        for line in complete_lines.split(b"\n"):
-            if line.strip():
-                objects.append(parse_object(line))
-        return objects
+        if not separator:
+            self.rest += rest
+            return []
+        lines, self.rest = bytes(self.rest + head).split(b"\n"), bytearray(rest)
+        return [parse_object(line) for line in lines if line.strip()]
 
 
 def encode_line(value: dict) -> bytes:
