What discovery and the desk send is bounded in sum: bodies, values, instances

Cause: each call might hold a body of 8 MiB, and 21 calls stay open; short JSON values take many times their length; every instance that a change named was kept, also its start time after it was gone.

Change: all bodies of discovery together have a share of memory_mb (rpc/body_allowance.py), an answer to a vote 64 KiB; the values of a list are counted before they are made; new instances beyond the limit are left out and logged ("list too long"), while what a list says of listed instances always counts.

--- a/cobaltpond/edge/discovery.py
+++ b/cobaltpond/edge/discovery.py
@@ -5,7 +5,7 @@
 from cobaltpond.edge.discovery_calls import CallKind, CallResult, CallTimes, DiscoveryCall, DiscoveryCalls
 from cobaltpond.edge.source_switch import SourceSwitch
 from cobaltpond.loop import DeadlineExceededError
-from cobaltpond.rpc import CALL_ERRORS, Backoff
+from cobaltpond.rpc import CALL_ERRORS, Backoff, BodyAllowance
 from cobaltpond.wire.address import split_address
 from cobaltpond.wire.json_lines import JsonLineError, parse_object
 
@@ -22,10 +22,15 @@
 
 
 class DiscoveredInstances:
-    """Converts the responses of discovery to rows for the decisions. Does no I/O."""
+    """Converts the responses of discovery to rows for the decisions. Does no I/O.
 
-    def __init__(self):
-        self.seq, self.start_times = 0, {}
+    `listed`: the ids of all instances that are listed, at most `max_instances`. `left_out`: how many the last
+    response named beyond that.
+    """
+
+    def __init__(self, max_instances: int):
+        self.max_instances = max_instances
+        self.seq, self.start_times, self.listed, self.left_out = 0, {}, set(), 0
 
     def apply(self, now: int, wall_time: int, response: dict) -> tuple[bool, list]:
         """Applies one response and returns (whole, [(row, address)]).
@@ -66,18 +71,47 @@
             raise JsonLineError(f"invalid instance list: {error!r}") from error
         if seq < self.seq:
             return False, []  # another source has reported a newer version; the list never goes back
+        rows = self.within_limit(bool(whole), rows)
         self.seq = seq
-        if whole:
-            self.start_times = start_times
-        else:
-            ids = {row["id"] for row, _ in rows}
-            self.start_times = {
-                instance_start: at
-                for instance_start, at in self.start_times.items()
-                if instance_start[0] not in ids
-            } | start_times
+        earlier = {} if whole else self.start_times
+        ids = {row["id"] for row, _ in rows}
+        self.start_times = {
+            (id, born_ms): started
+            for (id, born_ms), started in [
+                *((start, at) for start, at in earlier.items() if start[0] not in ids),
+                *start_times.items(),
+            ]
+            if id in self.listed
+        }
         return bool(whole), rows
 
+    def within_limit(self, whole: bool, rows: list) -> list:
+        """Returns the rows without new instances beyond the limit, and counts these in `left_out`.
+
+        What is said of instances that are listed already is never left out.
+        """
+        gone = {row["id"] for row, _ in rows if row["state"] == "gone"}
+        listed = self.listed & {row["id"] for row, _ in rows} if whole else set(self.listed)
+        listed -= gone
+        kept = []
+        for row, address in rows:
+            if row["id"] in listed or row["id"] in gone:
+                kept.append((row, address))
+            elif len(listed) < self.max_instances:
+                listed.add(row["id"])
+                kept.append((row, address))
+        self.listed, self.left_out = listed, len(rows) - len(kept)
+        return kept
+
+
+@dataclass(frozen=True)
+class ListLimits:
+    """Limits on what discovery may send: bytes of all bodies together, values of one, and instances."""
+
+    max_bytes: int
+    max_values: int
+    max_instances: int
+
 
 @dataclass
 class FollowedSource:
@@ -98,18 +132,20 @@
 class Discovery:
     """Keeps the instance list of the gateway up to date."""
 
-    def __init__(self, loop, host, address, log, reports_every_response: bool):
+    def __init__(self, loop, host, address, log, reports_every_response: bool, limits: ListLimits):
         """Takes the host that receives the list and the address of the source.
 
         `reports_every_response`: the decisions poll the list, so responses without a change are reported to
         them too.
         """
+        self.limits, self.allowance = limits, BodyAllowance(limits.max_bytes)
+        self.on_applied = lambda: None  # called after each change of the list
         self.loop = loop
         self.host = host
         self.address = address
         self.log = log
         self.reports_every_response = reports_every_response
-        self.instances = DiscoveredInstances()
+        self.instances = DiscoveredInstances(limits.max_instances)
         self.has_received = False
         self.source_switch = SourceSwitch(loop, "discovery")
         self.counts = {"applied": 0, "errors": 0, "calls": 0, "given_up": 0}
@@ -120,6 +156,9 @@
         if rows or whole:
             self.counts["applied"] += 1
             self.host.endpoints.update(whole, rows)
+            self.on_applied()
+            if self.instances.left_out:
+                self.log.warning("list too long", left_out=self.instances.left_out)
             self.log.info(
                 "list",
                 seq=self.instances.seq,
@@ -158,14 +197,17 @@
         whichever source reported that.
         """
         times = CallTimes(WATCH_TIME_US, RESPONSE_TIMEOUT_US, HEDGE_INTERVAL_US)
-        calls = DiscoveryCalls(self.loop, address, times, self.counts)
+        calls = DiscoveryCalls(self.loop, address, times, self.counts, self.allowance)
         source = FollowedSource(Backoff(20_000, MAX_RETRY_DELAY_US, self.loop.kernel.random_seed()))
         try:
             while True:
                 wake_at = self.start_due_call(calls, source)
                 result = yield from calls.next_result(wake_at)
                 if result is not None:
-                    self.handle_result(calls, source, result)
+                    try:
+                        self.handle_result(calls, source, result)
+                    finally:
+                        result.share.release()
         finally:
             calls.close()
 
@@ -208,7 +250,7 @@
                 raise result.error
             if result.status != 200:
                 raise JsonLineError(f"status {result.status}")
-            version = self.apply_response(parse_object(result.body))
+            version = self.apply_response(parse_object(result.body, self.limits.max_values))
         except (*CALL_ERRORS, DeadlineExceededError) as error:
             self.report_error(f"{type(error).__name__}: {error}"[:200])
             source.version = None
--- a/cobaltpond/edge/discovery_calls.py
+++ b/cobaltpond/edge/discovery_calls.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from cobaltpond.loop import Deadline, DeadlineExceededError, Queue, Task
-from cobaltpond.rpc import CALL_ERRORS, call
+from cobaltpond.rpc import CALL_ERRORS, BodyAllowance, BodyShare, call
 
 HOSTS_PATH = "/discovery/hosts"
 # Numbers of calls for the whole list that may wait at a silent source: the newest, and those kept for longer.
@@ -62,9 +62,12 @@
 
 @dataclass(frozen=True)
 class CallResult:
-    """How a call ended: with a response (`status`, `body`), or with `error`, which `rpc.call` raised."""
+    """How a call ended: with a response (`status`, `body`), or with `error`, which `rpc.call` raised. `share`
+    holds the body until it is released.
+    """
 
     call: DiscoveryCall
+    share: BodyShare
     status: int = 0
     body: bytes = b""
     error: Exception | None = None
@@ -173,11 +176,11 @@
     """Makes the calls to one source.
 
     `counts`: counters for the log, shared by all sources. `silent_watches`: watches that were given up after
-    a later call was answered.
+    a later call was answered. `allowance`: for the bodies of all sources.
     """
 
-    def __init__(self, loop, address, times: CallTimes, counts: dict):
-        self.loop, self.address, self.counts = loop, address, counts
+    def __init__(self, loop, address, times: CallTimes, counts: dict, allowance: BodyAllowance):
+        self.loop, self.address, self.counts, self.allowance = loop, address, counts, allowance
         self.schedule = CallSchedule(times, loop.now())
         self.silent_watches = 0
         self.results = Queue(MAX_OPEN_CALLS)
@@ -206,12 +209,20 @@
         target = HOSTS_PATH
         if started.after is not None:
             target += f"?after={started.after}&wait_ms={(started.due_at - started.started_at) // 1000}"
+        share = self.allowance.share()
         try:
-            status, body = yield from call(self.loop, self.address, "GET", target, b"", MAX_RESPONSE_TIME_US)
-            result = CallResult(started, status, body)
-        except (*CALL_ERRORS, DeadlineExceededError) as error:
-            result = CallResult(started, error=error)
-        yield from self.results.put(result)
+            try:
+                status, body = yield from call(
+                    self.loop, self.address, "GET", target, b"", MAX_RESPONSE_TIME_US, share
+                )
+                result = CallResult(started, share, status, body)
+            except (*CALL_ERRORS, DeadlineExceededError) as error:
+                share.release()
+                result = CallResult(started, share, error=error)
+            yield from self.results.put(result)
+        except BaseException:  # cancelled: nobody gets the result
+            share.release()
+            raise
 
     def next_result(self, until: int):
         """Returns the next result of an open call; None where there is none until a time of the loop."""
@@ -222,6 +233,7 @@
                     result = yield from self.results.get()
                     if result.call in self.schedule.open_calls:
                         return result
+                    result.share.release()
         except DeadlineExceededError:
             if not timer.passed:
                 raise
@@ -244,5 +256,7 @@
 
     def close(self) -> None:
         """Ends all calls."""
+        for result in self.results.items:
+            result.share.release()
         for open_call in self.schedule.open_calls:
             open_call.task.cancel()
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -4,7 +4,7 @@
 from cobaltpond.edge.discovery import Discovery
 from cobaltpond.edge.forwards import Forwards, handshake
 from cobaltpond.edge.frontend import Frontend
-from cobaltpond.edge.memory_plan import MemoryPlan, plan_memory
+from cobaltpond.edge.memory_plan import REQUESTS_SHARE, MemoryPlan, plan_memory
 from cobaltpond.edge.platform import PlatformDesk
 from cobaltpond.gateway.decision_host import GatewayDecisionHost
 from cobaltpond.gateway.endpoints import EndpointPool
@@ -50,8 +50,14 @@
             log,
         )
         self.discovery = self.host.instance_source = Discovery(
-            loop, self.host, config.discovery, log, settings.get("list_by") == "asking"
+            loop,
+            self.host,
+            config.discovery,
+            log,
+            settings.get("list_by") == "asking",
+            self.plan.list_limits,
         )
+        self.discovery.on_applied = self.resize_budget
         self.platform = self.host.desk_client = PlatformDesk(
             loop, self.host, config.desk, settings.get("vote_wait", 1_000_000), settings["dial_time_out"], log
         )
@@ -74,6 +80,11 @@
             self.config.memory_mb, self.loop.kernel.memory_used(), self.config.client_connection_limit
         )
 
+    def resize_budget(self) -> None:
+        """Takes what the listed instances need from the memory for large messages."""
+        pool = self.plan.pool_beside(len(self.endpoints.by_id))
+        self.budget.resize(pool, int(pool * REQUESTS_SHARE))
+
     def client_connection_limit(self) -> int:
         """Returns the current maximum of client connections.
 
--- a/cobaltpond/edge/memory_plan.py
+++ b/cobaltpond/edge/memory_plan.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from cobaltpond.edge.discovery import ListLimits
+
 MB = 1 << 20
 DEFAULT_MEMORY_BYTES = 192 * MB  # where the configuration names none: the most that the platform gives
 SPARE_SHARE = 1 / 8  # for garbage, fragments, and what one step of the loop holds for a moment
@@ -17,7 +19,10 @@
 SENT_ID_BYTES = 160  # of one remembered id
 KEPT_KEYS_SHARE = 1 / 64
 KEPT_KEY_BYTES = 160  # of one key that is bound to a build
-INSTANCE_BYTES = 4 << 10  # of one listed instance
+INSTANCES_SHARE = 1 / 4  # at most; what the control share does not cover is taken from the pool
+INSTANCE_BYTES = 2 << 10  # of one listed instance
+BODIES_SHARE = 1 / 4  # of the control share, for the bodies of discovery's responses
+VALUE_BYTES = 100  # of one value of a list while it is read
 
 
 @dataclass(frozen=True)
@@ -35,6 +40,16 @@
     max_kept_keys: int
     max_instances: int
 
+    @property
+    def list_limits(self) -> ListLimits:
+        """Limits on what discovery may send."""
+        return ListLimits(int(self.control * BODIES_SHARE), self.control // VALUE_BYTES, self.max_instances)
+
+    def pool_beside(self, instances: int) -> int:
+        """Returns the pool while so many instances are listed."""
+        excess = max(0, instances * INSTANCE_BYTES - self.control // 2)
+        return max(int(self.limit * MIN_POOL_SHARE), self.pool - excess)
+
 
 def plan_memory(limit_mb: float, used: int, client_limit: int) -> MemoryPlan:
     """Plans for a limit in MB (0: none is known), `used` bytes of a process without peers, and at most
@@ -55,5 +70,5 @@
         max_clients,
         sent_ids // SENT_ID_BYTES,
         kept_keys // KEPT_KEY_BYTES,
-        control // INSTANCE_BYTES,
+        int(limit * INSTANCES_SHARE) // INSTANCE_BYTES,
     )
--- a/cobaltpond/edge/platform.py
+++ b/cobaltpond/edge/platform.py
@@ -5,7 +5,7 @@
 from cobaltpond.edge.source_switch import SourceSwitch
 from cobaltpond.gateway.desk_client import VOTE_ANSWERS
 from cobaltpond.loop import Deadline, DeadlineExceededError
-from cobaltpond.rpc import CALL_ERRORS, NOT_SENT_ERRORS, Backoff, call, follow_stream
+from cobaltpond.rpc import CALL_ERRORS, NOT_SENT_ERRORS, Backoff, BodyAllowance, call, follow_stream
 from cobaltpond.wire.json_lines import JsonLineError, parse_object
 
 PHASES = {"canary": "trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
@@ -13,6 +13,7 @@
 BALLOTS_PATH, FEED_PATH = "/v2/projects/main/ballots", "/v2/projects/main/feed"
 FEED_SILENCE_TIMEOUT_US = 3_000_000  # the feed sends at least an empty object each second
 MAX_FEED_LINE_BYTES = 64 << 10  # of one object of the feed
+MAX_VOTE_ANSWER_BYTES = 64 << 10
 PHASE_ORDER = ("trial", "released", "going back", "withdrawn")
 # Number of builds, beside the latest, whose last drop of the cap is remembered; a forward dials for about a
 # second.
@@ -156,7 +157,13 @@
         try:
             with Deadline(self.loop, self.vote_wait):
                 status, text = yield from call(
-                    self.loop, self.address, "POST", BALLOTS_PATH, body.encode(), self.dial_time
+                    self.loop,
+                    self.address,
+                    "POST",
+                    BALLOTS_PATH,
+                    body.encode(),
+                    self.dial_time,
+                    BodyAllowance(MAX_VOTE_ANSWER_BYTES).share(),
                 )
             answer = VOTE_ANSWERS.get(status, "error" if status in (400, 500) else "timeout")
             if status == 200:
--- a/cobaltpond/gateway/memory_budget.py
+++ b/cobaltpond/gateway/memory_budget.py
@@ -12,12 +12,12 @@
 class Reservation:
     """Bytes of a `MemoryBudget` that one owner may use. `granted`: whether it may do so already.
 
-    `on_granted()` is called once a reservation that had to wait is granted. `limit`: up to which the budget
-    may be used for it; `requested_at` and `granted_at`: times of the loop in microseconds.
+    `on_granted()` is called once a reservation that had to wait is granted. `is_request`: it is for a
+    request, not for a response; `requested_at` and `granted_at`: times of the loop in microseconds.
     """
 
-    def __init__(self, budget, size: int, limit: int, on_granted):
-        self.budget, self.size, self.limit, self.on_granted = budget, size, limit, on_granted
+    def __init__(self, budget, size: int, is_request: bool, on_granted):
+        self.budget, self.size, self.is_request, self.on_granted = budget, size, is_request, on_granted
         self.granted, self.released = False, False
         self.requested_at, self.granted_at = budget.loop.now(), None
 
@@ -40,14 +40,19 @@
         self.used = self.peak = 0
         self.waiting_requests, self.waiting_responses = deque(), deque()
 
+    def resize(self, capacity: int, request_capacity: int) -> None:
+        """Changes the limits. What is granted stays; where less is left, the next ones wait for longer."""
+        self.capacity, self.request_capacity = capacity, request_capacity
+        self.grant_waiting()
+
     def reserve_request(self, size: int, on_granted) -> Reservation:
         """Reserves bytes for a client's request; see `Reservation`."""
-        return self.request(size, self.request_capacity, self.waiting_requests, on_granted)
+        return self.request(Reservation(self, size, True, on_granted), self.waiting_requests)
 
     def reserve_response(self, size: int):
         """Waits until bytes for an instance's response are reserved, and returns the reservation."""
         granted = Event()
-        reservation = self.request(size, self.capacity, self.waiting_responses, granted.set)
+        reservation = self.request(Reservation(self, size, False, granted.set), self.waiting_responses)
         try:
             while not reservation.granted:
                 yield granted
@@ -56,9 +61,8 @@
             raise
         return reservation
 
-    def request(self, size: int, limit: int, queue: deque, on_granted) -> Reservation:
-        """Makes a reservation that is granted at once where there is room and no other one waits."""
-        reservation = Reservation(self, size, limit, on_granted)
+    def request(self, reservation: Reservation, queue: deque) -> Reservation:
+        """Grants a reservation at once where there is room and no other one waits in the queue."""
         if queue or not self.has_room(reservation):
             queue.append(reservation)
         else:
@@ -67,7 +71,8 @@
 
     def has_room(self, reservation: Reservation) -> bool:
         """Returns whether a reservation fits. One alone always does, or it would wait for ever."""
-        return self.used == 0 or self.used + reservation.size <= reservation.limit
+        limit = self.request_capacity if reservation.is_request else self.capacity
+        return self.used == 0 or self.used + reservation.size <= limit
 
     def grant(self, reservation: Reservation) -> None:
         """Lets the owner use its bytes."""
--- a/cobaltpond/rpc/client.py
+++ b/cobaltpond/rpc/client.py
@@ -8,6 +8,7 @@
     UnreachableError,
     dial,
 )
+from cobaltpond.rpc.body_allowance import BodyShare
 from cobaltpond.wire import http1
 from cobaltpond.wire.json_lines import JsonLineError
 
@@ -46,10 +47,14 @@
 
 
 class PendingCall:
-    """One request and its response. A read of the response that was interrupted can be resumed."""
+    """One request and its response. A read of the response that was interrupted can be resumed.
 
-    def __init__(self, loop, address):
-        self.loop, self.address, self.connection = loop, address, None
+    `share`: takes the bytes of the body, and is the caller's to release; None: bounded by RESPONSE_LIMITS
+    alone.
+    """
+
+    def __init__(self, loop, address, share: BodyShare | None = None):
+        self.loop, self.address, self.connection, self.share = loop, address, None, share
         self.parser, self.status, self.body_parts = http1.ResponseParser(RESPONSE_LIMITS), 0, []
 
     def send(self, method: str, target: str, body: bytes, dial_time: int):
@@ -76,6 +81,8 @@
                 if kind == "head":
                     self.status = value.status
                 elif kind == "body":
+                    if self.share is not None:
+                        self.share.take(len(value))
                     self.body_parts.append(value)
                 else:
                     return self.status, b"".join(self.body_parts)
@@ -86,13 +93,22 @@
             self.connection.close()
 
 
-def call(loop, address, method: str, target: str, body: bytes, dial_time: int):
-    """Sends one request; gives (status, body) of the response. `dial_time`: microseconds.
+def call(
+    loop,
+    address,
+    method: str,
+    target: str,
+    body: bytes,
+    dial_time: int,
+    share: BodyShare | None = None,
+):
+    """Sends one request; gives (status, body) of the response. `dial_time`: microseconds. `share`: see
+    `PendingCall`.
 
     Raises what CALL_ERRORS names, or DeadlineExceededError where connecting takes too long. The caller sets a
     Deadline for the rest.
     """
-    pending = PendingCall(loop, address)
+    pending = PendingCall(loop, address, share)
     try:
         yield from pending.send(method, target, body, dial_time)
         return (yield from pending.read_response())
--- a/cobaltpond/wire/json_lines.py
+++ b/cobaltpond/wire/json_lines.py
@@ -3,18 +3,22 @@
 import json
 
 MAX_LINE_BYTES = 4 << 20  # of a line that may hold a whole list
+VALUE_SEPARATORS = (b",", b"[", b"{")
 
 
 class JsonLineError(Exception):
     """A line is no JSON object, or is longer than the limit."""
 
 
-def parse_object(data: bytes) -> dict:
-    """Parses one JSON object.
+def parse_object(data: bytes, max_values: int | None = None) -> dict:
+    """Parses one JSON object of at most `max_values` values; None: no limit.
 
     Raises JsonLineError, also on nesting so deep that the recursion limit is hit, which would otherwise end
-    the calling task.
+    the calling task. The values are counted before they are made, since short ones take many times their
+    length in memory.
     """
+    if max_values is not None and sum(map(data.count, VALUE_SEPARATORS)) > max_values:
+        raise JsonLineError(f"more than {max_values} values")
     try:
         value = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/tests/test_edge_list.py
+++ b/tests/test_edge_list.py
@@ -63,7 +63,7 @@
 
 
 def test_start_time_is_fixed_per_start_and_invalid_lists_change_nothing():
-    instances = DiscoveredInstances()
+    instances = DiscoveredInstances(max_instances=100)
     host = {
         "host": "a",
         "dial": "1.2.3.4:5",
@@ -182,3 +182,23 @@
     assert [event for level, event, _ in world.log.lines if level == "error"] == [
         "configuration kept as it was"
     ]
+
+
+def test_list_beyond_the_limit_still_tells_of_listed_instances():
+    """Guards against a list without end, and against a drain that is not heard as the list is too long."""
+    instances = DiscoveredInstances(max_instances=2)
+
+    def apply(seq, whole, **healths):
+        hosts = [
+            {"host": name, "dial": "1.2.3.4:5", "health": health, "born_ms": 1000}
+            for name, health in healths.items()
+        ]
+        _, rows = instances.apply(0, 0, {"seq": seq, "whole": whole, "hosts": hosts})
+        return {row["id"]: row["state"] for row, _ in rows}
+
+    assert apply(1, True, a="up", b="up", c="up") == {"a": "up", "b": "up"} and instances.left_out == 1
+    assert apply(2, False, c="up", d="up", b="draining") == {"b": "draining"}
+    assert apply(3, False, e="up", a="removed") == {"a": "gone", "e": "up"} and instances.left_out == 0
+    assert apply(4, False, f="up") == {} and instances.left_out == 1
+    assert apply(5, True, x="up", y="up", e="draining") == {"x": "up", "e": "draining"}
+    assert sorted(instances.listed) == ["e", "x"] and len(instances.start_times) == 2
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -135,7 +135,7 @@
 
 
 def test_indented_list_with_unknown_fields_is_read():
-    instances = DiscoveredInstances()
+    instances = DiscoveredInstances(max_instances=100)
     response = {
         "seq": 4,
         "whole": True,
