Making room for new connections keeps pace with clients that stop half way and come again

Cause: at the limit one half-sent connection was turned away at each attempt, which freed nothing at once, and accepting paused for 20 ms: some 50 connections a second. The refused ones kept their descriptors for up to 0.5 s. A client that had asked before and then stopped half way was never turned away.

Change: one attempt ends up to 32 connections; one that was refused 0.1 s ago is closed where room is short; half-way clients count from the first byte of their message, also after earlier commands; the next attempt follows after 5 ms.

--- a/bench/crowd/clients.py
+++ b/bench/crowd/clients.py
@@ -46,6 +46,7 @@
     port: int
     group: str = "listing-read"
     period_s: float = 0.05
+    one_request_each: bool = False  # each connection is used for one request
     value: bytes = b"9f03"
     requests: list[Request] = field(default_factory=list)
     killed_at: list[float] = field(default_factory=list)
@@ -91,7 +92,7 @@
                     return
                 answered = await self.ask(connection, request, True)
             is_new = False
-            if not answered:
+            if not answered or self.one_request_each:
                 connection[1].close()
                 connection = None
             await asyncio.sleep(self.period_s)
--- a/bench/crowd/crowd.py
+++ b/bench/crowd/crowd.py
@@ -230,6 +230,16 @@
                 raise ConnectionResetError
 
 
+class HalfCommand(CrowdClient):
+    """Sends the first half of a small request and stays; begins again when it is turned away."""
+
+    async def play(self) -> None:
+        """Uses one connection."""
+        request = select(self.next_id(), CROWD_TIME_LEFT_MS)
+        await self.send(startup_message() + request[: len(request) // 2])
+        await self.stay()
+
+
 class StartupBytes(CrowdClient):
     """Sends nothing but a part of the startup message and stays."""
 
@@ -257,6 +267,7 @@
     "empty-queries-unread": EmptyQueriesUnread,
     "unsound-requests": UnsoundRequests,
     "new-names": NewNames,
+    "half-command": HalfCommand,
     "startup-bytes": StartupBytes,
     "silent": Silent,
 }
--- a/bench/crowd/play.py
+++ b/bench/crowd/play.py
@@ -23,6 +23,7 @@
     count: int
     limits: Limits
     value_bytes: int = 0
+    one_request_each: bool = False  # usual clients open a connection for each request
 
 
 PLAYS = [
@@ -32,6 +33,9 @@
         for memory_mb in (32, 64)
     ),
     CrowdPlay("never-read", 400, Limits(32, 1024), value_bytes=64 << 10),
+    CrowdPlay("half-command", 400, Limits(64, 256), one_request_each=True),
+    CrowdPlay("silent", 400, Limits(64, 256), one_request_each=True),
+    CrowdPlay("startup-bytes", 400, Limits(64, 256), one_request_each=True),
     CrowdPlay("empty-queries", 1, Limits(64, 1024)),
     CrowdPlay("empty-queries", 12, Limits(64, 1024)),
     CrowdPlay("empty-queries-unread", 1, Limits(64, 1024)),
@@ -52,7 +56,8 @@
 async def play_crowd(play: CrowdPlay) -> PlayResult:
     """Plays a crowd beside usual clients."""
     async with fleet(play.limits, value_bytes=play.value_bytes) as running:
-        traffic, until = Traffic(running.gateways[0].port), time.monotonic() + HEAD_START_S + CROWD_S
+        traffic = Traffic(running.gateways[0].port, one_request_each=play.one_request_each)
+        until = time.monotonic() + HEAD_START_S + CROWD_S
         usual = asyncio.create_task(play_traffic([traffic], USUAL_CLIENTS, HEAD_START_S + CROWD_S))
         await asyncio.sleep(HEAD_START_S)
         crowd = start_crowd(play.kind, traffic.port, play.count, CROWD_S, SEED)
--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -27,7 +27,7 @@
         self.input = ClientInput(frontend.budget, self.task.resume)
         self.output = ClientOutput(self.loop, connection, frontend.budget, self.on_written)
         self.hit = None
-        self.connected_at = self.last_active = frontend.loop.now()
+        self.connected_at = self.last_active = self.partial_since = frontend.loop.now()
         self.has_asked = False
         self.closing_since = None
         self.discarded_bytes = 0
@@ -43,6 +43,17 @@
             and not self.input.queued
         )
 
+    @property
+    def is_half_way(self) -> bool:
+        """Whether nothing but a part of a message is there, since `partial_since`."""
+        return (
+            self.hit is None
+            and not self.output.is_busy
+            and self.closing_since is None
+            and self.input.parser.has_partial
+            and not self.input.queued
+        )
+
     @property
     def held_bytes(self) -> int:
         """How many bytes this connection makes the process hold: half a message, commands that wait, the open
@@ -93,6 +104,8 @@
                 return False
             return True
         self.last_active = self.loop.now()
+        if not self.input.parser.has_partial:
+            self.partial_since = self.last_active
         self.input.parser.add(data)
         self.frontend.note_activity(self)
         return True
@@ -107,6 +120,7 @@
         event = self.input.next_event()
         if event is None:
             return False
+        self.partial_since = self.loop.now()
         self.handle_event(*event)
         return True
 
@@ -128,6 +142,13 @@
             self.task.resume()
         return not data
 
+    def discard_unread(self) -> None:
+        """Drops what lies in the socket: closing with unread bytes could lose what was sent to the client."""
+        try:
+            self.connection.read_now()
+        except ConnectionLostError:
+            pass
+
     def send_data(self, data: bytes) -> None:
         """Sends bytes. What the socket doesn't accept waits, and so do the client's next commands."""
         self.last_active = self.loop.now()
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -17,6 +17,9 @@
 IDLE_TIMEOUT_US = 2_000_000  # an idle connection may be closed after this, above half of the limit
 IDLE_TIMEOUT_WHEN_FULL_US = 300_000  # or after this where a new connection would have to wait
 CLOSE_TIMEOUT_US = 500_000  # how long bytes are read after our side has ended
+CLOSE_TIMEOUT_WHEN_FULL_US = 100_000  # the same where a new connection would have to wait
+MAX_EVICTIONS = 32  # at once
+ACCEPT_PAUSE_US = 5_000  # until it is tried again to make room
 SWEEP_INTERVAL_US = 200_000
 # While a message waits for memory: how often and how soon the others are looked at, after which time without
 # progress they are ended, how many at once, and how long a message waits before it is refused.
@@ -106,7 +109,7 @@
                 self.serve_client,
                 self.connection_limit,
                 "client",
-                pause=20_000,
+                pause=ACCEPT_PAUSE_US,
                 evict=self.evict,
             ),
             "door",
@@ -115,36 +118,58 @@
         self.loop.spawn(self.relieve_memory(), "door-relief")
 
     def evict(self) -> bool:
-        """Makes room for a new connection; returns whether there is some.
+        """Makes room for new connections; returns whether there is some now.
 
-        Closes the first connection, beginning with the one that has been idle longest, that has sent no
-        command for NEW_CONNECTION_GRACE_US or has been idle for IDLE_TIMEOUT_WHEN_FULL_US; if there is none,
-        an idle connection to an instance. Otherwise clients that connect and send nothing, or send one
-        command and stay, would exhaust the descriptors. A connection without a command gets an error
-        response: a new connection that is closed silently counts as a request that was refused or lost.
+        Ends connections, beginning with the one that has been idle longest, that have sent no command for
+        NEW_CONNECTION_GRACE_US, or have been idle or half-way through a message for
+        IDLE_TIMEOUT_WHEN_FULL_US; if there is none, an idle connection to an instance. Otherwise clients that
+        connect and send nothing, or half a command, or one and stay, would exhaust the descriptors. Many are
+        ended at once, so that it keeps pace with clients that come again.
         """
-        now, turned_away = self.loop.now(), False
+        has_room, ended = False, 0
         for client in list(self.clients):
-            evictable = (
-                not client.has_asked
-                and now - client.connected_at > NEW_CONNECTION_GRACE_US
-                or client.is_idle
-                and now - client.last_active > IDLE_TIMEOUT_WHEN_FULL_US
-            )
-            if evictable and not client.connection.closed:
-                if client.is_quiet():
-                    self.increment("evicted")
-                    if not client.has_asked:
-                        client.send_data(TOO_MANY_CONNECTIONS)
-                    client.connection.close()  # no byte is unread, so this ends like a half-close
-                    return True
-                if client.input.parser.has_partial and client.last_active < now and not turned_away:
-                    self.increment("evicted")
-                    turned_away = True
-                    # the descriptor is free once the client has closed, or soon after
-                    client.refuse_connection(TOO_MANY_CONNECTIONS)
+            if self.may_evict(client) and not client.connection.closed:
+                is_freed = self.evict_client(client)
+                has_room, ended = has_room or is_freed, ended + 1
+                if ended == MAX_EVICTIONS:
+                    break
+        if has_room:
+            return True
         return len(self.clients) < self.max_connections and self.host.endpoints.evict()
 
+    def may_evict(self, client: ClientConnection) -> bool:
+        """Returns whether a connection may be ended to make room for another one."""
+        now = self.loop.now()
+        if client.closing_since is not None:
+            return not client.output.is_busy and now - client.closing_since > CLOSE_TIMEOUT_WHEN_FULL_US
+        if not client.has_asked and client.hit is None:
+            return now - client.connected_at > NEW_CONNECTION_GRACE_US
+        if client.is_idle:
+            return now - client.last_active > IDLE_TIMEOUT_WHEN_FULL_US
+        return client.is_half_way and now - client.partial_since > IDLE_TIMEOUT_WHEN_FULL_US
+
+    def evict_client(self, client: ClientConnection) -> bool:
+        """Ends a connection; returns whether its descriptor is free.
+
+        A connection without a command gets an error response: a new connection that is closed silently
+        counts as a request that was refused or lost.
+        """
+        if client.closing_since is not None:
+            client.discard_unread()
+            client.connection.close()
+            return True
+        if client.is_quiet():
+            self.increment("evicted")
+            if not client.has_asked:
+                client.send_data(TOO_MANY_CONNECTIONS)
+            client.connection.close()  # no byte is unread, so this ends like a half-close
+            return True
+        if client.is_half_way and client.last_active < self.loop.now():
+            self.increment("evicted")
+            # the descriptor is free once the client has closed, or soon after
+            client.refuse_connection(TOO_MANY_CONNECTIONS)
+        return False
+
     def serve_client(self, connection):
         """Serves one connection; the body of a task. Its read notices a client that disconnects."""
         client = ClientConnection(self, connection)
