Test bed of the gateway plans its memory by a gateway's use, not by that of the test's process

Cause: a whole run of the suite failed five tests of tests/test_crossings*.py, since the process that runs the tests had grown over the 64 MB of the test bed's configuration, and the plan left room for one client.

Change: the test bed tells the kernel's memory_used a gateway's 10 MB; the plan lets in 16 clients at least.

--- a/cobaltpond/edge/memory_plan.py
+++ b/cobaltpond/edge/memory_plan.py
@@ -15,6 +15,7 @@
 SENT_IDS_SHARE = 1 / 64
 MIN_POOL_SHARE = 1 / 16  # however little is left
 REQUESTS_SHARE = 0.6  # of the pool; the rest is for responses
+MIN_CLIENTS = 16  # that are let in, however little is left
 CLIENT_BYTES = 12 << 10  # of one client's connection with its request, without what it reserves
 SENT_ID_BYTES = 160  # of one remembered id
 KEPT_KEYS_SHARE = 1 / 64
@@ -59,7 +60,7 @@
     control, sent_ids = int(limit * CONTROL_SHARE), int(limit * SENT_IDS_SHARE)
     kept_keys = int(limit * KEPT_KEYS_SHARE)
     available = max(0, limit - used - int(limit * SPARE_SHARE))
-    max_clients = min(client_limit, max(1, int(available * CONNECTIONS_SHARE) // CLIENT_BYTES))
+    max_clients = min(client_limit, max(MIN_CLIENTS, int(available * CONNECTIONS_SHARE) // CLIENT_BYTES))
     left = available - control - sent_ids - kept_keys - max_clients * CLIENT_BYTES
     pool = max(int(limit * MIN_POOL_SHARE), left)
     return MemoryPlan(
--- a/tests/pgworld.py
+++ b/tests/pgworld.py
@@ -62,6 +62,7 @@
         "maxRetryAfter": 1000.0,
     },
 }
+GATEWAY_MEMORY_BYTES = 10 << 20
 SELECT = "SELECT payload FROM entries WHERE ref = '%(ref)s' /* id=%(id)s,c=%(c)s,t=%(t)s,d=%(d)s */"
 INSERT = (
     "INSERT INTO entries (ref, payload) VALUES ('%(ref)s', '\\x9f03') RETURNING payload "
@@ -222,6 +223,7 @@
         self.feeds = []
         self.machine = Machine(1) if self.virtual else None
         kernel = self.machine.process("case", ["case"]) if self.virtual else EpollKernel()
+        kernel.memory_used = lambda: GATEWAY_MEMORY_BYTES  # the test's process holds far more than a gateway
         self.loop = Loop(kernel, lambda task, error: self.task_failures.append((task.name, error)))
         self.lock, base = reserve_ports(self.loop.kernel, 7)
         self.listen_address = ("127.0.0.1", base)
