HTTP gateway and RPC servers: one client no longer holds the loop, piles up answers or runs on

Frontend.serve_client handled a whole read at once and read on without a turn for others; a further answer was written whether or not the one before it was, each with a task of its own that waited for the socket (the second one ended with "two tasks write one handle"); while an answer was awaited nothing was read, so a close behind unread requests was not seen.

Change: 32 events of a connection a turn; a request is handled once the answers before it are written; a client whose side has ended gets nothing sent on, asked before each request and, in the decisions' host, before each attempt. RPC servers (desk, agents) take turns alike, and the bodies of their requests have 64 MiB together. The writer of a streamed request keeps its connection, which another task's close took from it in one run of the suite.

What all HTTP clients together may hold is still the product of the settings' limits.

--- a/cobaltpond/edge/pg_hit.py
+++ b/cobaltpond/edge/pg_hit.py
@@ -13,11 +13,13 @@
         super().__init__(client.frontend.host.next_number(), statement.id.decode(), client.frontend)
         self.client, self.statement, self.command = client, statement, command
 
-    def is_wanted(self) -> bool:
-        """Returns whether the hit may still be sent to an instance: not once its client has left."""
-        if not self.final and self.client.has_left:
-            self.client.abandon_open_hit()
-        return not self.final
+    def client_has_left(self) -> bool:
+        """Returns whether the client has ended its side, also while bytes of it are unread."""
+        return self.client.has_left
+
+    def abandon(self) -> None:
+        """Ends the hit, whose client has left."""
+        self.client.abandon_open_hit()
 
     def note_sent(self) -> None:
         """Notes that the hit is about to be written to an instance."""
--- a/cobaltpond/gateway/client_connection.py
+++ b/cobaltpond/gateway/client_connection.py
@@ -29,6 +29,11 @@
         self.frontend, self.loop, self.connection = frontend, frontend.loop, connection
         self.hit, self.writer, self.last_active, self.reading_head = None, None, frontend.loop.now(), False
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the client has ended its side; what it sent before is not served any more."""
+        return self.connection.handle.peer_finished
+
     def send_data(self, data: bytes, close: bool) -> None:
         """Sends a response; what the socket does not accept at once is sent by a task with a time limit.
 
@@ -102,6 +107,10 @@
         super().finalize(outcome)
         self.answered.set()
 
+    def client_has_left(self) -> bool:
+        """Returns whether the client has ended its side, also while bytes of it are unread."""
+        return self.client.has_left
+
     @property
     def may_keep_connection(self) -> bool:
         """Whether the connection may serve another hit after this one."""
--- a/cobaltpond/gateway/decision_host.py
+++ b/cobaltpond/gateway/decision_host.py
@@ -151,8 +151,8 @@
         """
         pending_hit, endpoint = self.pending_hits[hit], self.endpoints.by_id.get(instance)
         number = len(pending_hit.forwards)
-        # the client has disconnected in this turn
-        if pending_hit.final:
+        # the client has disconnected in this turn, or its close is not read yet
+        if not pending_hit.is_wanted():
             pending_hit.forwards.append(None)
             self.loop.call_in(0, lambda: self.post_event("on_outcome", hit, number, "moot", 0, True, {}))
             return
--- a/cobaltpond/gateway/forwards.py
+++ b/cobaltpond/gateway/forwards.py
@@ -210,18 +210,19 @@
 
         `streamed`: the body follows from the buffer after `data`. `chunked`: in the chunked transfer coding.
         """
+        connection = self.connection  # `close` ends it before this task ends
         try:
-            yield from self.connection.write(data)
+            yield from connection.write(data)
             while streamed:
                 chunk = yield from self.hit.request_body.read()
                 if chunk or chunked:
-                    yield from self.connection.write(http1.encode_chunk(chunk) if chunked else chunk)
+                    yield from connection.write(http1.encode_chunk(chunk) if chunked else chunk)
                 if not chunk:
                     return
         except ConnectionLostError:
             pass  # `receive` reads what has arrived and classifies the failure
         except BodyTruncatedError:
-            self.connection.abort()
+            connection.abort()
 
     def receive(self):
         """Reads the response up to its end or the commit point; returns the key of FORWARD_RESULTS."""
--- a/cobaltpond/gateway/frontend.py
+++ b/cobaltpond/gateway/frontend.py
@@ -1,16 +1,18 @@
 """Serves clients over HTTP/1.1: one hit at a time per connection, one final answer per hit."""
 
 import json
+from collections import deque
 
 from cobaltpond.gateway import responses
 from cobaltpond.gateway.body_buffer import BodyBuffer
 from cobaltpond.gateway.client_connection import ClientConnection, HttpHit
 from cobaltpond.gateway.customer_shares import CustomerShares
 from cobaltpond.gateway.routes import Routes
-from cobaltpond.loop import Sleep, serve
+from cobaltpond.loop import NextTurn, Sleep, serve
 from cobaltpond.wire import http1
 
 MIN_EVICTION_IDLE_US = 500_000  # a client that has been idle for less may be about to send its next request
+MAX_EVENTS_PER_TURN = 32  # of one connection that are handled in one turn of the loop
 OWN_PAGES = b"/-/"  # path prefix of the gateway's own pages, which are never forwarded
 
 
@@ -91,14 +93,19 @@
         """
         client, parser = ClientConnection(self, connection), http1.RequestParser(self.limits)
         self.clients[client] = True
-        events = []
+        events, handled = deque(), 0
         try:
             while True:
                 while events:
                     if client in self.half_closed:
-                        events = []
+                        events.clear()
                         break
-                    kind, value = events.pop(0)
+                    if client.has_left:
+                        return
+                    handled += 1
+                    if handled % MAX_EVENTS_PER_TURN == 0:
+                        yield NextTurn()
+                    kind, value = events.popleft()
                     if kind == "head":
                         yield from self.handle_head(client, value)
                     elif client.hit is not None and kind == "body":
@@ -113,7 +120,7 @@
                 client.last_active = self.loop.now()
                 if client in self.half_closed:
                     continue  # discarded until the client closes
-                events = parser.feed(data)
+                events.extend(parser.feed(data))
                 client.reading_head = parser.in_head and parser.message_begun
         except http1.HttpMessageError as error:
             self.increment("unfit")
@@ -147,6 +154,10 @@
         hit = client.hit
         while not hit.final or hit.streaming:
             yield hit.answered
+        yield from self.wait_until_written(client)
+
+    def wait_until_written(self, client):
+        """Waits until the client has been sent everything: one that does not read is not served further."""
         if client.writer is not None and not client.writer.done:
             yield client.writer
 
@@ -157,6 +168,9 @@
         """
         if client.hit is not None:
             yield from self.wait_for_answer(client)
+        yield from self.wait_until_written(client)
+        if client.has_left:
+            return
         if head.target.startswith(OWN_PAGES):
             self.serve_own_page(client, head)
             return
--- a/cobaltpond/gateway/pending_hit.py
+++ b/cobaltpond/gateway/pending_hit.py
@@ -27,6 +27,20 @@
         # tasks of the forwards, None where nothing was sent; the `ForwardResult` of the last that ended
         self.forwards, self.last_result = [], None
 
+    def is_wanted(self) -> bool:
+        """Returns whether the hit may still be sent to an instance: not once its client has left."""
+        if not self.final and self.client_has_left():
+            self.abandon()
+        return not self.final
+
+    def client_has_left(self) -> bool:
+        """Returns whether the client has ended its side, also while bytes of it are unread."""
+        return False
+
+    def abandon(self) -> None:
+        """Ends the hit, whose client has left."""
+        self.frontend.host.abandon_hit(self)
+
     def release(self) -> None:
         """Frees what the hit holds; called once it is final and none of its forwards runs."""
 
--- a/cobaltpond/rpc/server.py
+++ b/cobaltpond/rpc/server.py
@@ -4,11 +4,22 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qsl, urlsplit
 
-from cobaltpond.loop import ConnectionLostError, Deadline, DeadlineExceededError, Event, Queue, serve
+from cobaltpond.loop import (
+    ConnectionLostError,
+    Deadline,
+    DeadlineExceededError,
+    Event,
+    NextTurn,
+    Queue,
+    serve,
+)
 from cobaltpond.loop.errors import error_name
+from cobaltpond.rpc.body_allowance import BodyAllowance
 from cobaltpond.wire import http1
 from cobaltpond.wire.json_lines import encode_line
 
+MAX_BODIES_BYTES = 64 << 20  # of the requests of all connections together
+MAX_REQUESTS_PER_TURN = 32  # of one connection that are handled in one turn of the loop
 REQUEST_LIMITS = http1.MessageLimits(head=16 << 10, body=1 << 20)
 
 
@@ -83,8 +94,17 @@
     other exception is logged and becomes a 500.
     """
 
+    allowance = BodyAllowance(MAX_BODIES_BYTES)
+
     def serve_connection(connection):
-        parser, head, body = http1.RequestParser(REQUEST_LIMITS), None, []
+        share = allowance.share()
+        try:
+            yield from serve_requests(connection, share)
+        finally:
+            share.release()
+
+    def serve_requests(connection, share):
+        parser, head, body, handled = http1.RequestParser(REQUEST_LIMITS), None, [], 0
         while True:
             try:
                 with Deadline(loop, idle_timeout):
@@ -92,6 +112,7 @@
                 if not data:
                     return
                 events = parser.feed(data)
+                share.take(sum(len(value) for kind, value in events if kind == "body"))
             except DeadlineExceededError:
                 return
             except http1.HttpMessageError as error:
@@ -106,6 +127,11 @@
                     keep_alive = yield from handle_request(connection, head, b"".join(body))
                     if not keep_alive:
                         return
+                    body = []
+                    share.release()
+                    handled += 1
+                    if handled % MAX_REQUESTS_PER_TURN == 0:
+                        yield NextTurn()
 
     def handle_request(connection, head, body):
         url = urlsplit(head.target.decode("latin-1"))
