--- a/bench/crowd/clients.py
+++ b/bench/crowd/clients.py
@@ -13,6 +13,8 @@
 LATE_ALLOWANCE_S = 0.55
 # SIGKILL loses what it finds unanswered if the request came later than this after SIGTERM
 STOP_GRACE_S = 0.7
+NEW_CONNECTIONS_S = 0.4  # for which new connections keep coming after SIGTERM
+MAX_STOP_S = 6.0  # SIGKILL follows SIGTERM within this; later it belongs to another start
 RECONNECT_PAUSE_S = 0.02
 
 
@@ -25,6 +27,8 @@
     sent_at: float
     time_left_s: float
     on_new_connection: bool
+    port: int
+    connected_at: float
     outcome: str = ""
     ended_at: float | None = None
 
@@ -39,18 +43,61 @@
         return self.seconds > self.time_left_s + LATE_ALLOWANCE_S
 
 
+@dataclass
+class Connection:
+    """One connection of a client, to `port`; `is_new` until its first answer is awaited."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    port: int
+    opened_at: float
+    is_new: bool = True
+
+
+@dataclass
+class Interruptions:
+    """When gateways were sent SIGTERM and SIGKILL, by port, in monotonic seconds."""
+
+    stopped_at: dict[int, list[float]] = field(default_factory=dict)
+    killed_at: dict[int, list[float]] = field(default_factory=dict)
+
+    def is_out(self, port: int, now: float) -> bool:
+        """Whether the front hands out no new connections to a gateway, as it was told to stop."""
+        stopped_at = max(self.stopped_at.get(port, ()), default=None)
+        if stopped_at is None or now - stopped_at <= NEW_CONNECTIONS_S:
+            return False
+        return not any(killed_at > stopped_at for killed_at in self.killed_at.get(port, ()))
+
+    def frees(self, request: "Request") -> bool:
+        """Whether a kill, while the request was open, frees its gateway of the answer."""
+        for killed_at in self.killed_at.get(request.port, ()):
+            if request.connected_at <= killed_at <= request.sent_at:
+                return True  # written to a connection whose process was dead already
+            due_at = request.sent_at + request.time_left_s + LATE_ALLOWANCE_S
+            if request.sent_at <= killed_at <= min(due_at, request.ended_at or killed_at):
+                stops = [
+                    at for at in self.stopped_at.get(request.port, ()) if 0 <= killed_at - at < MAX_STOP_S
+                ]
+                return not stops or request.sent_at - max(stops) <= STOP_GRACE_S
+        return False
+
+
 @dataclass
 class Traffic:
-    """The usual clients of one gateway. `killed_at`, `stopped_at`: when it was sent SIGKILL and SIGTERM."""
+    """The usual clients of one gateway.
+
+    `other_ports`: of the gateways that take a client in while its own one refuses connections.
+    """
 
     port: int
     group: str = "listing-read"
     period_s: float = 0.05
     one_request_each: bool = False  # each connection is used for one request
     value: bytes = b"9f03"
+    first_client: int = 1
+    other_ports: list[int] = field(default_factory=list)
     requests: list[Request] = field(default_factory=list)
-    killed_at: list[float] = field(default_factory=list)
-    stopped_at: list[float] = field(default_factory=list)
+    interruptions: Interruptions = field(default_factory=Interruptions)
 
     def encode(self, request: Request) -> bytes:
         """Encodes a request."""
@@ -59,54 +106,66 @@
             return select(request.request_id, time_left_ms)
         return insert(request.request_id, time_left_ms, self.value, request.group)
 
-    async def connect(self):
-        """Opens a connection and sends the startup message; None where nobody listens."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        except OSError:
+    async def connect(self, until: float) -> Connection | None:
+        """Opens a connection and sends the startup message; None where nobody listens until a time."""
+        while time.monotonic() < until:
+            for port in (self.port, *self.other_ports):
+                opened_at = time.monotonic()
+                if self.interruptions.is_out(port, opened_at):
+                    continue
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                except OSError:
+                    continue
+                writer.write(startup_message())
+                return Connection(reader, writer, port, opened_at)
             await asyncio.sleep(RECONNECT_PAUSE_S)
-            return None
-        writer.write(startup_message())
-        return reader, writer
+        return None
 
     async def client(self, number: int, until: float) -> None:
         """Sends requests one after another until a time; a request that crosses a close is sent once more."""
-        connection, is_new, count = None, True, 0
+        connection, count = None, 0
         while time.monotonic() < until:
+            connection = connection or await self.connect(until)
             if connection is None:
-                connection, is_new = await self.connect(), True
-                continue
+                return
             count += 1
             request = Request(
-                number << 32 | count, self.group, time.monotonic(), DEADLINES_S[self.group], is_new
+                (self.first_client + number) << 32 | count,
+                self.group,
+                time.monotonic(),
+                DEADLINES_S[self.group],
+                connection.is_new,
+                connection.port,
+                connection.opened_at,
             )
             self.requests.append(request)
-            answered = await self.ask(connection, request, is_new)
-            if not answered and not is_new and not self.was_killed(request):
-                connection[1].close()
-                connection = None
-                while connection is None and time.monotonic() < until:
-                    connection = await self.connect()
+            answered = await self.ask(connection, request)
+            if not answered and not request.on_new_connection and not self.interruptions.frees(request):
+                connection.writer.close()
+                connection = await self.connect(until)
                 if connection is None:
                     self.requests.remove(request)
                     return
-                answered = await self.ask(connection, request, True)
-            is_new = False
+                request.sent_at, request.on_new_connection = time.monotonic(), True
+                request.port, request.connected_at = connection.port, connection.opened_at
+                answered = await self.ask(connection, request)
             if not answered or self.one_request_each:
-                connection[1].close()
+                connection.writer.close()
                 connection = None
             await asyncio.sleep(self.period_s)
         if connection is not None:
-            connection[1].close()
+            connection.writer.close()
 
-    async def ask(self, connection, request: Request, is_new: bool) -> bool:
+    async def ask(self, connection: Connection, request: Request) -> bool:
         """Sends a request and waits for its answer; returns whether there was one."""
-        reader, writer = connection
+        reader = connection.reader
         try:
-            writer.write(self.encode(request))
+            connection.writer.write(self.encode(request))
             got = "closed"
             async with asyncio.timeout(request.time_left_s + 2 * LATE_ALLOWANCE_S):
-                if is_new:
+                if connection.is_new:
+                    connection.is_new = False
                     welcome = await read_messages(reader)
                     if outcome(welcome)[0] not in ("closed", "empty"):  # refused in place of the welcome
                         got = outcome(welcome)[0]
@@ -121,14 +180,6 @@
         request.outcome, request.ended_at = got, time.monotonic()
         return got not in ("closed", "never")
 
-    def was_killed(self, request: Request) -> bool:
-        """Whether the process was killed while the request was open and the kill frees it of its answer."""
-        for killed_at in self.killed_at:
-            if request.sent_at <= killed_at <= (request.ended_at or killed_at):
-                stopped_at = max((t for t in self.stopped_at if t <= killed_at), default=None)
-                return stopped_at is None or request.sent_at - stopped_at <= STOP_GRACE_S
-        return False
-
     def lost(self) -> list[str]:
         """Describes the requests that were lost: answered too late, never, wrongly, or closed away."""
         return [
@@ -136,7 +187,7 @@
             for request in self.requests
             if request.ended_at is not None
             and (request.outcome in ("closed", "never", "foreign value") or request.is_late)
-            and not self.was_killed(request)
+            and not self.interruptions.frees(request)
         ]
 
     def share(self, outcomes=("served",)) -> float:
--- a/bench/crowd/fleet.py
+++ b/bench/crowd/fleet.py
@@ -8,9 +8,8 @@
 
 from bench.crowd.clients import Traffic, is_ready
 from bench.crowd.gateway_process import MAX_READY_S, READY_POLL_S, GatewayProcess, Limits
-from bench.crowd.hostile import HostileDiscovery, HostilePlatform
+from bench.crowd.hostile import HostileDiscovery, HostileInstance, HostilePlatform
 from bench.crowd.protocol import insert, query, startup_message
-from bench.crowd.standins import Instance
 
 INSTANCES = 3
 # an attempt that begins later than this after its client's close is a break; sockets get 50 ms more
@@ -22,7 +21,7 @@
 
     def __init__(self, folder: Path, work_s: float, value_bytes: int, with_peers: bool):
         self.folder, self.with_peers = folder, with_peers
-        self.instances = [Instance(f"s-{n}", work_s, value_bytes) for n in range(INSTANCES)]
+        self.instances = [HostileInstance(f"s-{n}", work_s, value_bytes) for n in range(INSTANCES)]
         self.gateways: list[GatewayProcess] = []
 
     async def start(self, gateways: int, limits: Limits) -> None:
--- a/bench/crowd/hostile.py
+++ b/bench/crowd/hostile.py
@@ -6,11 +6,22 @@
 import socket
 import struct
 
-from bench.crowd.standins import FIRST_BUILD, Discovery, Platform, http_response, read_request
+from bench.crowd.protocol import LARGE_VALUE_BYTES, message, response
+from bench.crowd.standins import (
+    FIRST_BUILD,
+    Discovery,
+    Instance,
+    Platform,
+    http_response,
+    read_request,
+    value_of,
+)
 
 LARGE_LIST_HOSTS = 30_000
 DENSE_VALUES = 1_500_000
 SLOW_PIECE_BYTES, SLOW_PIECE_INTERVAL_S = 64 << 10, 0.02
+SLOW_VALUE_BYTES, ENDLESS_BYTES, NOTICE_BYTES = 1 << 10, 8 << 20, 60 << 10
+HOLD_S = 30.0
 NEW_HOSTS = 200  # in each response
 LINE_PIECE = b'{"type":"' + b"x" * (32 << 10)
 OBJECTS_IN_A_PIECE = 2000
@@ -18,6 +29,34 @@
 PEER_HEADER = struct.Struct(">2sHH")
 
 
+class HostileInstance(Instance):
+    """An instance that turns hostile: `kind` is None, "slow-values", "endless-notices", "endless-value" or
+    "never-reads".
+    """
+
+    kind = None
+
+    async def run(self, request_id: int, text: bytes, reader, writer) -> None:
+        """Answers a statement as the kind says."""
+        if self.kind is None:
+            await super().run(request_id, text, reader, writer)
+        elif self.kind == "never-reads":
+            writer.transport.pause_reading()
+            await asyncio.sleep(HOLD_S)
+        elif self.kind == "endless-notices":
+            while True:
+                writer.write(message(b"N", b"x" * NOTICE_BYTES))
+                await writer.drain()
+        else:
+            data = response(value_of(request_id, LARGE_VALUE_BYTES), text)
+            if self.kind == "endless-value":
+                data = data[: len(data) // 2] + b"x" * ENDLESS_BYTES
+            for offset in range(0, len(data), SLOW_VALUE_BYTES):
+                writer.write(data[offset : offset + SLOW_VALUE_BYTES])
+                await writer.drain()
+                await asyncio.sleep(SLOW_PIECE_INTERVAL_S)
+
+
 def chunk(data: bytes) -> bytes:
     """Encodes one chunk of a chunked body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/bench/crowd/play.py
+++ b/bench/crowd/play.py
@@ -35,6 +35,7 @@
     CrowdPlay("never-read", 400, Limits(32, 1024), value_bytes=64 << 10),
     CrowdPlay("half-command", 400, Limits(64, 256), one_request_each=True),
     CrowdPlay("silent", 400, Limits(64, 256), one_request_each=True),
+    CrowdPlay("pipeline", 400, Limits(64, 256), one_request_each=True),
     CrowdPlay("startup-bytes", 400, Limits(64, 256), one_request_each=True),
     CrowdPlay("empty-queries", 1, Limits(64, 1024)),
     CrowdPlay("empty-queries", 12, Limits(64, 1024)),
--- a/bench/crowd/standins.py
+++ b/bench/crowd/standins.py
@@ -102,9 +102,13 @@
             self.attempts.append(
                 Attempt(time.monotonic(), self.name, request_id, comment[2].decode(), int(comment[4]))
             )
-            await asyncio.sleep(self.work_s)
-            writer.write(response(value_of(request_id, self.value_bytes), text))
-            await writer.drain()
+            await self.run(request_id, text, reader, writer)
+
+    async def run(self, request_id: int, text: bytes, reader, writer) -> None:
+        """Runs a statement and answers it."""
+        await asyncio.sleep(self.work_s)
+        writer.write(response(value_of(request_id, self.value_bytes), text))
+        await writer.drain()
 
 
 def http_response(document: dict) -> bytes:
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -19,13 +19,14 @@
 MAX_GAP_S = DEADLINES_S["listing-read"] + LATE_ALLOWANCE_S
 
 
-def check_usual_clients(make_hostile, with_peers=False):
-    """Plays usual clients, lets a peer turn hostile, and checks memory and answers."""
+def play_hostile(make_hostile, with_peers=False, clients=USUAL_CLIENTS, **traffic_settings):
+    """Plays usual clients and lets a peer turn hostile; checks memory and that every request is answered."""
 
     async def play():
         async with fleet(LIMITS, with_peers=with_peers) as running:
-            traffic, until = Traffic(running.gateways[0].port), time.monotonic() + HEAD_START_S + HOSTILE_S
-            usual = asyncio.create_task(play_traffic([traffic], USUAL_CLIENTS, HEAD_START_S + HOSTILE_S))
+            traffic = Traffic(running.gateways[0].port, **traffic_settings)
+            until = time.monotonic() + HEAD_START_S + HOSTILE_S
+            usual = asyncio.create_task(play_traffic([traffic], clients, HEAD_START_S + HOSTILE_S))
             await asyncio.sleep(HEAD_START_S)
             hostile = make_hostile(running)
             await usual
@@ -37,6 +38,12 @@
     traffic, crashes, gap_s = asyncio.run(play())
     assert crashes == []
     assert traffic.lost() == []
+    return traffic, gap_s
+
+
+def check_usual_clients(make_hostile, with_peers=False):
+    """Plays usual clients beside a hostile peer, and checks that they are served."""
+    traffic, gap_s = play_hostile(make_hostile, with_peers)
     assert traffic.share() >= MIN_SERVED_SHARE, traffic.outcomes()
     assert gap_s <= MAX_GAP_S, traffic.outcomes()
 
@@ -60,3 +67,15 @@
         return asyncio.ensure_future(flood_peer(gateway.peer, gateway.peer_address, 1, HOSTILE_S))
 
     check_usual_clients(flood, with_peers=True)
+
+
+# Guards against instances that fill the memory: large values slowly, values and notices without end, or
+# statements that nobody reads.
+@pytest.mark.parametrize("kind", ["slow-values", "endless-value", "endless-notices", "never-reads"])
+def test_instances_cannot_make_a_gateway_exceed_its_memory(kind):
+    def turn_hostile(running):
+        for instance in running.instances:
+            instance.kind = kind
+
+    large_value = b"9f" * (64 << 10)
+    play_hostile(turn_hostile, clients=200, group="resale-buy", value=large_value)
