A crowd that pipelines large commands no longer keeps new connections waiting, nor a drain

Cause: since large commands wait for memory such clients are no longer refused for the number of their commands, so each holds its connection while it is served, and nothing ended it. At the end of a drain the rest of the listener's queue was accepted for 50 attempts, which the shorter pause had made a quarter of the time.

Change: where room is short, a connection at which the next command lay ready at each answer for 0.3 s ends after its answer, and what was read of it is refused with 53300, each command by its own answer. More than one large command behind an open one is refused. The rest of the queue is accepted for 1 s, with a turn for others.

--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -14,6 +14,7 @@
 from cobaltpond.wire.statement import PLAIN_NAME, PlatformStatement, StatementError
 
 MAX_QUEUED_COMMANDS = 16  # commands that wait behind an open one
+MAX_LARGE_QUEUED = 1  # of them, those that need a reservation: usual clients send one after another
 MAX_COMMANDS_PER_TURN = 32  # that are handled in one turn of the loop
 MAX_DISCARDED_BYTES = 256 << 10  # that are read and dropped after our side has ended
 
@@ -30,6 +31,9 @@
         self.connected_at = self.last_active = self.partial_since = frontend.loop.now()
         self.has_asked = False
         self.closing_since = None
+        # since when a further command has lain there at each answer; None where none did at the last one
+        self.pipelined_since = None
+        self.ends_after_answer = False
         self.discarded_bytes = 0
 
     @property
@@ -119,6 +123,8 @@
             return True
         event = self.input.next_event()
         if event is None:
+            if self.hit is not None and self.input.large_messages > MAX_LARGE_QUEUED:
+                self.refuse("54000", f"more than {MAX_LARGE_QUEUED} large command waits behind an open one")
             return False
         self.partial_since = self.loop.now()
         self.handle_event(*event)
@@ -195,6 +201,21 @@
         self.send_data(data)
         self.half_close()
 
+    def end_after_answer(self) -> None:
+        """Ends the connection once its open hit has its final response; what waits behind it is refused."""
+        self.ends_after_answer = True
+        if self.hit is None:
+            self.refuse_rest()
+
+    def refuse_rest(self) -> None:
+        """Refuses each command that has arrived, and closes."""
+        refusal = pg.error_response("53300", "too many connections") + pg.READY_FOR_QUERY
+        for _ in self.input.queued:
+            self.send_data(refusal)
+        if self.input.parser.has_partial:
+            self.send_data(pg.error_response("53300", "too many connections", fatal=True))
+        self.half_close()
+
     def abandon_open_hit(self) -> None:
         """Cancels the open hit, if there is one: its client disconnected or is being refused."""
         hit, self.hit = self.hit, None
@@ -281,7 +302,12 @@
     def finish_query(self) -> None:
         """Lets the connection go on with the next command, after the open hit has got its final response."""
         self.hit = None
-        if self.input.queued or self.input.parser.has_partial:
+        if self.ends_after_answer:
+            self.refuse_rest()
+        elif self.input.queued or self.input.parser.has_partial:
+            self.pipelined_since = self.pipelined_since or self.loop.now()
             self.task.resume()
-        elif self.frontend.draining and self.is_quiet():
-            self.half_close()
+        else:
+            self.pipelined_since = None
+            if self.frontend.draining and self.is_quiet():
+                self.half_close()
--- a/cobaltpond/edge/client_input.py
+++ b/cobaltpond/edge/client_input.py
@@ -52,6 +52,12 @@
         """Whether a large message has its room and is incomplete."""
         return self.reservation is not None and self.reservation.granted
 
+    @property
+    def large_messages(self) -> int:
+        """How many large messages wait, the one that is arriving included."""
+        queued = sum(command.reservation is not None for command in self.queued)
+        return queued + (self.reservation is not None)
+
     def read_size(self) -> int:
         """Returns how many bytes may be read now; 0 for none."""
         if self.is_waiting:
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -18,6 +18,7 @@
 IDLE_TIMEOUT_WHEN_FULL_US = 300_000  # or after this where a new connection would have to wait
 CLOSE_TIMEOUT_US = 500_000  # how long bytes are read after our side has ended
 CLOSE_TIMEOUT_WHEN_FULL_US = 100_000  # the same where a new connection would have to wait
+PIPELINE_TIME_WHEN_FULL_US = 300_000
 MAX_EVICTIONS = 32  # at once
 ACCEPT_PAUSE_US = 5_000  # until it is tried again to make room
 SWEEP_INTERVAL_US = 200_000
@@ -121,10 +122,11 @@
         """Makes room for new connections; returns whether there is some now.
 
         Ends connections, beginning with the one that has been idle longest, that have sent no command for
-        NEW_CONNECTION_GRACE_US, or have been idle or half-way through a message for
-        IDLE_TIMEOUT_WHEN_FULL_US; if there is none, an idle connection to an instance. Otherwise clients that
-        connect and send nothing, or half a command, or one and stay, would exhaust the descriptors. Many are
-        ended at once, so that it keeps pace with clients that come again.
+        NEW_CONNECTION_GRACE_US, have been idle or half-way through a message for IDLE_TIMEOUT_WHEN_FULL_US,
+        or have had the next command ready at each answer for PIPELINE_TIME_WHEN_FULL_US; if there is none, an
+        idle connection to an instance. Otherwise clients that connect and send nothing, or half a command, or
+        hundreds at once, would exhaust the descriptors. Many are ended at once, so that it keeps pace with
+        clients that come again.
         """
         has_room, ended = False, 0
         for client in list(self.clients):
@@ -144,6 +146,8 @@
             return not client.output.is_busy and now - client.closing_since > CLOSE_TIMEOUT_WHEN_FULL_US
         if not client.has_asked and client.hit is None:
             return now - client.connected_at > NEW_CONNECTION_GRACE_US
+        if client.pipelined_since is not None and not client.ends_after_answer:
+            return now - client.pipelined_since > PIPELINE_TIME_WHEN_FULL_US
         if client.is_idle:
             return now - client.last_active > IDLE_TIMEOUT_WHEN_FULL_US
         return client.is_half_way and now - client.partial_since > IDLE_TIMEOUT_WHEN_FULL_US
@@ -158,6 +162,10 @@
             client.discard_unread()
             client.connection.close()
             return True
+        if client.pipelined_since is not None:
+            self.increment("evicted")
+            client.end_after_answer()
+            return False
         if client.is_quiet():
             self.increment("evicted")
             if not client.has_asked:
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -9,7 +9,7 @@
 MAX_READS_PER_TURN = 2  # of one connection, so that a fast peer does not hold the loop
 MAX_ACCEPTS_PER_TURN = 64
 OPEN_RETRY_INTERVAL_US = 20_000
-MAX_DRAIN_ATTEMPTS = 50  # attempts to accept the rest of the backlog while no file descriptor is free
+MAX_DRAIN_TIME_US = 1_000_000  # in which the rest of the backlog is accepted
 
 
 class Connection:
@@ -153,21 +153,23 @@
                 yield NextTurn()
     except TaskCancelledError:
         # Clients in the backlog see an established connection and may have sent a request: accept them all.
-        attempts_left = MAX_DRAIN_ATTEMPTS
-        while attempts_left:
+        end = loop.now() + MAX_DRAIN_TIME_US
+        while loop.now() < end:
             try:
                 handle = listener.accept()
             except HandlesExhaustedError:  # the clients stay in the backlog until a descriptor is closed
-                attempts_left -= 1
                 yield Sleep(0 if evict() else pause)
                 continue
             except (ConnectionLostError, UnreachableError):
-                attempts_left -= 1
+                yield NextTurn()
                 continue
             if handle is None:
                 break
+            accepted_count += 1
             open_count[0] += 1
             loop.spawn(run_connection(Connection(loop, handle)), f"{name}-last")
+            if accepted_count % MAX_ACCEPTS_PER_TURN == 0:
+                yield NextTurn()
         raise
     finally:
         listener.close()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -41,9 +41,10 @@
     check_play(CrowdPlay("never-read", 400, Limits(32, 1024), value_bytes=64 << 10))
 
 
-# Guards against clients by hundreds that stop half way and come again: others waited in the listener's queue.
-@pytest.mark.parametrize("kind", ["half-command", "silent", "startup-bytes"])
-def test_crowd_that_stays_half_way_does_not_keep_new_connections_waiting(kind):
+# Guards against clients by hundreds that stop half way and come again, or send hundreds of commands at once:
+# others waited in the listener's queue.
+@pytest.mark.parametrize("kind", ["half-command", "silent", "startup-bytes", "pipeline"])
+def test_crowd_does_not_keep_new_connections_waiting(kind):
     check_play(CrowdPlay(kind, 400, Limits(64, 256), one_request_each=True))
 
 
