Sent ids are remembered in a tenth of the memory, so a flood does not push them out

Cause: 32 MB had room for 3,276 ids at 160 bytes, and a crowd with some 500 requests a second pushed them out in 6 s; an id that was asked for did not count as recent.

Change: two hash tables of 8-byte slots in the same share of the memory: at least 16,384 ids with 32 MB. An id that comes again stays known. Slots are chosen with a random multiplier, so that clients can't make ids collide.

--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -44,12 +44,12 @@
         max_connections: int,
         log,
         budget: MemoryBudget,
-        max_sent_ids: int,
+        sent_ids: SentIds,
     ):
         """Takes the limits on what clients may hold.
 
         `connection_limit()` returns the current maximum of client connections, `max_connections` is the
-        highest one. `budget`: for large messages. `max_sent_ids`: see `SentIds`.
+        highest one. `budget`: for large messages. `sent_ids`: of requests that must not run again.
         """
         self.loop = loop
         self.host = host
@@ -60,7 +60,7 @@
         self.customers = {row["name"] for row in policy_settings["customers"]}
         self.may_cancel = bool(policy_settings.get("may_cancel"))
         self.clients, self.open_ids, self.draining, self.counts = {}, {}, False, {}
-        self.sent_ids = SentIds(max_sent_ids)
+        self.sent_ids = sent_ids
         self.refusals = {}  # connections that were ended with an error, by SQLSTATE and reason
         # answer_deadline: by when all responses are sent, once the gateway drains
         self.listener, self.answer_deadline = None, None
--- a/cobaltpond/edge/main.py
+++ b/cobaltpond/edge/main.py
@@ -6,6 +6,7 @@
 from cobaltpond.edge.frontend import Frontend
 from cobaltpond.edge.memory_plan import REQUESTS_SHARE, MemoryPlan, plan_memory
 from cobaltpond.edge.platform import PlatformDesk
+from cobaltpond.edge.sent_ids import SentIds
 from cobaltpond.gateway.decision_host import GatewayDecisionHost
 from cobaltpond.gateway.endpoints import EndpointPool
 from cobaltpond.gateway.memory_budget import MemoryBudget
@@ -69,7 +70,7 @@
             self.plan.max_clients,
             log,
             self.budget,
-            self.plan.max_sent_ids,
+            SentIds(self.plan.sent_id_slots, loop.kernel.random_seed()),
         )
         self.stop_requested, self.stop_requested_at, self.max_timer_lag, self.reload_count = False, 0, 0, 0
         loop.on_timer_lag = self.record_timer_lag
--- a/cobaltpond/edge/memory_plan.py
+++ b/cobaltpond/edge/memory_plan.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from cobaltpond.edge.discovery import ListLimits
+from cobaltpond.edge.sent_ids import SLOT_BYTES
 
 MB = 1 << 20
 DEFAULT_MEMORY_BYTES = 192 * MB  # where the configuration names none: the most that the platform gives
@@ -17,7 +18,6 @@
 REQUESTS_SHARE = 0.6  # of the pool; the rest is for responses
 MIN_CLIENTS = 16  # that are let in, however little is left
 CLIENT_BYTES = 12 << 10  # of one client's connection with its request, without what it reserves
-SENT_ID_BYTES = 160  # of one remembered id
 KEPT_KEYS_SHARE = 1 / 64
 KEPT_KEY_BYTES = 160  # of one key that is bound to a build
 INSTANCES_SHARE = 1 / 4  # at most; what the control share does not cover is taken from the pool
@@ -37,7 +37,7 @@
     requests: int
     control: int
     max_clients: int
-    max_sent_ids: int
+    sent_id_slots: int
     max_kept_keys: int
     max_instances: int
 
@@ -69,7 +69,7 @@
         int(pool * REQUESTS_SHARE),
         control,
         max_clients,
-        sent_ids // SENT_ID_BYTES,
+        sent_ids // SLOT_BYTES,
         kept_keys // KEPT_KEY_BYTES,
         int(limit * INSTANCES_SHARE) // INSTANCE_BYTES,
     )
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -75,10 +75,20 @@
     assert world.edge.host.pending_hits == {}
 
 
-# Guards against a record of ids that grows without end under ever new ones.
-def test_the_oldest_ids_are_forgotten_beyond_the_bound():
-    sent = SentIds(2)
-    for number in (1, 2, 2, 3):
+# Guards against a record of ids that grows without end, and one that forgets too soon under ever new ones.
+def test_the_latest_ids_are_known_and_the_oldest_forgotten():
+    slots, recorded = 256, [b"%016x" % (number * 2**20) for number in range(1000)]
+    sent = SentIds(slots, seed=7)
+    for number, request_id in enumerate(recorded):
+        sent.record(request_id)
+        assert all(known in sent for known in recorded[max(0, number + 1 - slots // 4) : number + 1])
+    assert sum(request_id in sent for request_id in recorded[: -slots // 2]) == 0
+
+
+# Guards against an id that is forgotten although it comes again and again.
+def test_an_id_that_comes_again_stays_known():
+    sent = SentIds(256, seed=7)
+    sent.record(b"%016x" % 0)
+    for number in range(1, 1000):
         sent.record(b"%016x" % number)
-    assert [b"%016x" % n in sent for n in (1, 2, 3)] == [False, True, True]
-    assert len(sent.order) == len(sent.ids) == 2
+        assert b"%016x" % 0 in sent
