HTTP gateway forgets customers that have no hits in the window

What callers saw: nothing. Names that the settings do not have count as none (routes.py), so the counts cannot grow with ever new names today; this keeps it so where they come from elsewhere.

Cause: CustomerShares kept a count of 0 for each name that it had ever been given.

Change: a name goes with its last hit of the window.

Evidence: test_customers_without_hits_in_the_window_are_forgotten fails without the change (1,000 names kept) and passes with it.

--- a/cobaltpond/gateway/customer_shares.py
+++ b/cobaltpond/gateway/customer_shares.py
@@ -23,6 +23,8 @@
         while self.times[0][0] < now - self.window:
             _, expired_customer = self.times.popleft()
             self.counts[expired_customer] -= 1
+            if not self.counts[expired_customer]:
+                del self.counts[expired_customer]
 
     def is_over_share(self, customer: str | None) -> bool:
         """Returns whether the customer has more than one hit above its share.
--- a/tests/test_frontend_crowds.py
+++ b/tests/test_frontend_crowds.py
@@ -2,6 +2,7 @@
 
 from world import World, answer_ok, request_reader
 
+from cobaltpond.gateway.customer_shares import CustomerShares
 from cobaltpond.loop import ConnectionLostError, Sleep
 from cobaltpond.wire import http1
 
@@ -101,3 +102,12 @@
         return set(got)
 
     assert world.run(go()) == {200}
+
+
+# Guards against memory that grows with ever new names of customers.
+def test_customers_without_hits_in_the_window_are_forgotten():
+    shares = CustomerShares({"ann": 0.5}, window=100)
+    for number in range(1000):
+        shares.record_hit(number * 10, f"customer-{number}")
+    assert len(shares.counts) <= 11
+    assert not shares.is_over_share("customer-1")
