One count of a turn's work for all readers; the ordinary request costs less of it

Cause: the count of events at the HTTP gateway and RPC servers ran over the whole life of a connection, so each 32nd event took a turn more; the transcript of a lease owner that falls over differed by that (times only), found by the whole suite. The share of a turn stood in four places.

Change: loop/turn_share.py counts by turn, used by connections, clients, datagrams, HTTP events and RPC requests. The 5 ms of a turn are looked at every fourth step, memory is relieved only while somebody waits, responses are parsed without a copy of each message, hot paths call fewer properties.

Result: all 12 transcripts are as approved.

--- a/cobaltpond/edge/client_connection.py
+++ b/cobaltpond/edge/client_connection.py
@@ -8,7 +8,7 @@
 from cobaltpond.edge.client_input import ClientCommand, ClientInput
 from cobaltpond.edge.client_output import ClientOutput
 from cobaltpond.edge.pg_hit import PgHit
-from cobaltpond.loop import Connection, ConnectionLostError, NextTurn, Readable
+from cobaltpond.loop import Connection, ConnectionLostError, NextTurn, Readable, TurnShare
 from cobaltpond.loop.streams import CHUNK
 from cobaltpond.wire import pg
 from cobaltpond.wire.statement import PLAIN_NAME, PlatformStatement, StatementError
@@ -77,27 +77,27 @@
 
     def run(self):
         """Reads and handles commands until the connection ends; the body of a task."""
-        handle, commands = self.connection.handle, 0
-        while not (self.connection.closed or self.has_left and self.closing_since is None):
-            if commands >= MAX_COMMANDS_PER_TURN or self.connection.has_used_turn():
-                commands = 0
+        handle, commands = self.connection.handle, TurnShare(self.loop, MAX_COMMANDS_PER_TURN)
+        while not (handle.closed or handle.peer_finished and self.closing_since is None):
+            is_used_up = False
+            while not is_used_up and self.handle_next_command():
+                commands.count()
+                is_used_up = commands.is_used_up
+            if is_used_up or self.connection.turn_share.is_used_up:
                 yield NextTurn()
-            elif self.handle_next_command():
-                commands += 1
-            else:
-                size = self.read_size()
-                data = self.connection.read_now(size) if size else None
-                if data is None:
-                    commands = 0
-                    yield Readable(handle)
-                elif not data or not self.receive(data):
-                    return
+                continue
+            size = self.read_size()
+            data = self.connection.read_now(size) if size else None
+            if data is None:
+                yield Readable(handle)
+            elif not data or not self.receive(data):
+                return
 
     def read_size(self) -> int:
         """Returns how many bytes may be read now; 0 while answers wait or there is no room."""
         if self.closing_since is not None:
             return CHUNK
-        return 0 if self.output.is_busy else self.input.read_size()
+        return 0 if self.output.writer is not None else self.input.read_size()
 
     def receive(self, data: bytes) -> bool:
         """Takes bytes of the client; returns False where it has sent too much after our side has ended."""
@@ -116,7 +116,7 @@
 
     def handle_next_command(self) -> bool:
         """Handles the next command that has arrived whole; returns False where none may be handled now."""
-        if self.closing_since is not None or self.output.is_busy:
+        if self.closing_since is not None or self.output.writer is not None:
             return False
         if self.input.queued and self.hit is None:
             self.handle_query(self.input.queued.popleft())
--- a/cobaltpond/edge/client_input.py
+++ b/cobaltpond/edge/client_input.py
@@ -60,10 +60,12 @@
 
     def read_size(self) -> int:
         """Returns how many bytes may be read now; 0 for none."""
-        if self.is_waiting:
-            return 0
-        if self.is_reading_large:
+        if self.reservation is not None:
+            if not self.reservation.granted:
+                return 0
             return min(CHUNK, max(1, self.parser.message_length() - self.parser.pending_bytes))
+        if not self.queued:
+            return max(0, SMALL_INPUT_BYTES - self.parser.pending_bytes)
         small = sum(len(command.text) for command in self.queued if command.reservation is None)
         return max(0, SMALL_INPUT_BYTES - self.parser.pending_bytes - small)
 
@@ -71,6 +73,8 @@
         """Returns the next event of `pg.ClientMessageParser`, a query as a `ClientCommand`; None until more
         is read.
         """
+        if not self.parser.buffer:
+            return None
         event = self.parser.next_event()
         if event is None:
             self.reserve_large_message()
--- a/cobaltpond/edge/client_output.py
+++ b/cobaltpond/edge/client_output.py
@@ -23,7 +23,7 @@
     def send(self, data: bytes) -> None:
         """Sends bytes behind those that wait."""
         self.last_progress = self.loop.now()
-        if self.is_busy:
+        if self.writer is not None:
             self.hold(self.unsent + data)
             return
         try:
--- a/cobaltpond/edge/forwards.py
+++ b/cobaltpond/edge/forwards.py
@@ -189,7 +189,8 @@
         parser = self.connection.parser
         try:
             while not parser.done:
-                data = yield from self.connection.read((yield from self.read_size(parser)))
+                size = (yield from self.read_size(parser)) if parser.pending else SMALL_READ_BYTES
+                data = yield from self.connection.read(size)
                 if not data:
                     return "cut in the answer" if parser.has_begun else "cut before an answer"
                 parser.feed(data)
--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -231,6 +231,8 @@
     def relieve_memory(self):
         """Makes room in the memory for those who wait for it. Runs until cancelled."""
         while True:
+            if self.budget.waiting_since is None:
+                yield self.budget.waiting_began
             yield Sleep(RELIEF_INTERVAL_US)
             if self.budget.waiting_since is not None:
                 self.relieve_memory_once()
--- a/cobaltpond/edge/pg_hit.py
+++ b/cobaltpond/edge/pg_hit.py
@@ -15,7 +15,7 @@
 
     def client_has_left(self) -> bool:
         """Returns whether the client has ended its side, also while bytes of it are unread."""
-        return self.client.has_left
+        return self.client.connection.handle.peer_finished
 
     def abandon(self) -> None:
         """Ends the hit, whose client has left."""
--- a/cobaltpond/gateway/frontend.py
+++ b/cobaltpond/gateway/frontend.py
@@ -8,7 +8,7 @@
 from cobaltpond.gateway.client_connection import ClientConnection, HttpHit
 from cobaltpond.gateway.customer_shares import CustomerShares
 from cobaltpond.gateway.routes import Routes
-from cobaltpond.loop import NextTurn, Sleep, serve
+from cobaltpond.loop import NextTurn, Sleep, TurnShare, serve
 from cobaltpond.wire import http1
 
 MIN_EVICTION_IDLE_US = 500_000  # a client that has been idle for less may be about to send its next request
@@ -93,7 +93,7 @@
         """
         client, parser = ClientConnection(self, connection), http1.RequestParser(self.limits)
         self.clients[client] = True
-        events, handled = deque(), 0
+        events, turn_share = deque(), TurnShare(self.loop, MAX_EVENTS_PER_TURN)
         try:
             while True:
                 while events:
@@ -102,9 +102,9 @@
                         break
                     if client.has_left:
                         return
-                    handled += 1
-                    if handled % MAX_EVENTS_PER_TURN == 0:
+                    if turn_share.is_used_up:
                         yield NextTurn()
+                    turn_share.count()
                     kind, value = events.popleft()
                     if kind == "head":
                         yield from self.handle_head(client, value)
--- a/cobaltpond/gateway/memory_budget.py
+++ b/cobaltpond/gateway/memory_budget.py
@@ -39,6 +39,7 @@
         self.capacity, self.request_capacity = capacity, request_capacity
         self.used = self.peak = 0
         self.waiting_requests, self.waiting_responses = deque(), deque()
+        self.waiting_began = Event()  # set when a reservation begins to wait
 
     def resize(self, capacity: int, request_capacity: int) -> None:
         """Changes the limits. What is granted stays; where less is left, the next ones wait for longer."""
@@ -65,6 +66,7 @@
         """Grants a reservation at once where there is room and no other one waits in the queue."""
         if queue or not self.has_room(reservation):
             queue.append(reservation)
+            self.waiting_began.set()
         else:
             self.grant(reservation)
         return reservation
--- a/cobaltpond/gateway/peers.py
+++ b/cobaltpond/gateway/peers.py
@@ -2,7 +2,7 @@
 
 import struct
 
-from cobaltpond.loop import NextTurn, Readable
+from cobaltpond.loop import NextTurn, Readable, TurnShare
 
 # `HEADER_FORMAT`: struct format of the header (magic, number of the sender, length of the payload). `MAGIC`:
 # the magic of a message of the decisions.
@@ -54,18 +54,16 @@
 
         One that is malformed, or not from a configured gateway, is counted and dropped.
         """
-        received_in_turn = 0
+        turn_share = TurnShare(self.loop, MAX_DATAGRAMS_PER_TURN)
         while True:
+            if turn_share.is_used_up:
+                yield NextTurn()
             received = self.handle.recv(2048)
             if received is None:
-                received_in_turn = 0
                 yield Readable(self.handle)
                 continue
             self.receive(*received)
-            received_in_turn += 1
-            if received_in_turn == MAX_DATAGRAMS_PER_TURN:
-                received_in_turn = 0
-                yield NextTurn()
+            turn_share.count()
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
         """Handles one datagram."""
--- a/cobaltpond/loop/__init__.py
+++ b/cobaltpond/loop/__init__.py
@@ -21,6 +21,7 @@
     TaskCancelledError,
     Writable,
 )
+from cobaltpond.loop.turn_share import TurnShare
 
 __all__ = [
     "TaskCancelledError",
@@ -38,6 +39,7 @@
     "RefusedError",
     "Sleep",
     "Task",
+    "TurnShare",
     "DeadlineExceededError",
     "UnreachableError",
     "Writable",
--- a/cobaltpond/loop/event_loop.py
+++ b/cobaltpond/loop/event_loop.py
@@ -6,6 +6,7 @@
 from cobaltpond.loop.timers import Timer, Timers
 
 MAX_STEP_TIME_US = 5_000  # for which a turn runs tasks before it looks for new events and timers
+STEPS_PER_CHECK = 4  # between two looks at the clock, which cost time themselves
 
 
 class Loop:
@@ -82,16 +83,18 @@
         self.step_tasks()
         for callback in self.after_turn:
             callback()
-        self.longest_turn = max(self.longest_turn, self.kernel.now() - self.turn_at)
+        duration = self.kernel.now() - self.turn_at
+        if duration > self.longest_turn:
+            self.longest_turn = duration
 
     def step_tasks(self):
         """Steps the scheduled tasks in order, for at most MAX_STEP_TIME_US. The others, and those that are
         woken meanwhile, wait for the next turn, so that timers and I/O do not starve.
         """
         end = self.turn_at + MAX_STEP_TIME_US
-        for _ in range(len(self.run_queue)):
+        for number in range(1, len(self.run_queue) + 1):
             self.run_queue.popleft().step()
-            if self.kernel.now() >= end:
+            if number % STEPS_PER_CHECK == 0 and self.kernel.now() >= end:
                 return
 
     def take_longest_turn(self) -> int:
--- a/cobaltpond/loop/streams.py
+++ b/cobaltpond/loop/streams.py
@@ -4,6 +4,7 @@
 
 from cobaltpond.loop.errors import ConnectionLostError, HandlesExhaustedError, UnreachableError
 from cobaltpond.loop.tasks import Deadline, NextTurn, Readable, Sleep, TaskCancelledError, Writable
+from cobaltpond.loop.turn_share import TurnShare
 
 CHUNK = 1 << 16  # bytes
 MAX_READS_PER_TURN = 2  # of one connection, so that a fast peer does not hold the loop
@@ -17,7 +18,7 @@
 
     def __init__(self, loop, handle):
         self.loop, self.handle = loop, handle
-        self.read_turn, self.reads_in_turn = 0, 0
+        self.turn_share = TurnShare(loop, MAX_READS_PER_TURN)
 
     @property
     def closed(self):
@@ -28,25 +29,19 @@
         """Waits for the next bytes, at most `size`; b"" at the peer's end of file. Raises
         ConnectionLostError. A connection whose data comes faster than it is read gets a share of each turn.
         """
-        if self.has_used_turn():
+        if self.turn_share.units >= MAX_READS_PER_TURN and self.turn_share.is_used_up:
             yield NextTurn()
         while (data := self.read_now(size)) is None:
             yield Readable(self.handle)
         return data
 
-    def has_used_turn(self) -> bool:
-        """Returns whether as much has been read in this turn of the loop as one connection may."""
-        return self.read_turn == self.loop.turn_count and self.reads_in_turn >= MAX_READS_PER_TURN
-
     def read_now(self, size=CHUNK):
         """Returns the bytes that have arrived, b"" at the end of file, or None if there are none, without
         waiting. Raises ConnectionLostError.
         """
         data = self.handle.recv(size)
         if data is not None:
-            if self.read_turn != self.loop.turn_count:
-                self.read_turn, self.reads_in_turn = self.loop.turn_count, 0
-            self.reads_in_turn += 1
+            self.turn_share.count()
         return data
 
     def write(self, data):
--- a/cobaltpond/rpc/server.py
+++ b/cobaltpond/rpc/server.py
@@ -11,6 +11,7 @@
     Event,
     NextTurn,
     Queue,
+    TurnShare,
     serve,
 )
 from cobaltpond.loop.errors import error_name
@@ -104,7 +105,8 @@
             share.release()
 
     def serve_requests(connection, share):
-        parser, head, body, handled = http1.RequestParser(REQUEST_LIMITS), None, [], 0
+        parser, head, body = http1.RequestParser(REQUEST_LIMITS), None, []
+        turn_share = TurnShare(loop, MAX_REQUESTS_PER_TURN)
         while True:
             try:
                 with Deadline(loop, idle_timeout):
@@ -129,8 +131,8 @@
                         return
                     body = []
                     share.release()
-                    handled += 1
-                    if handled % MAX_REQUESTS_PER_TURN == 0:
+                    turn_share.count()
+                    if turn_share.is_used_up:
                         yield NextTurn()
 
     def handle_request(connection, head, body):
--- a/cobaltpond/wire/pg.py
+++ b/cobaltpond/wire/pg.py
@@ -82,7 +82,8 @@
     """
 
     def __init__(self):
-        self.buffer, self.offset = bytearray(), 0  # of the buffer, the bytes from `offset` on are not parsed
+        # The bytes of the buffer from `offset` on are not parsed; it is empty once all are.
+        self.buffer, self.offset = bytearray(), 0
         self.started, self.encryption_requests, self.failed = False, 0, False
 
     @property
@@ -93,7 +94,7 @@
     @property
     def has_partial(self) -> bool:
         """Whether bytes are there that are not parsed yet, such as a part of a message."""
-        return self.pending_bytes > 0
+        return bool(self.buffer)
 
     def add(self, data: bytes) -> None:
         """Adds bytes that the client has sent; after ("wrong", ...) they are dropped."""
@@ -121,7 +122,7 @@
 
     def next_event(self) -> tuple | None:
         """Returns the next event; None until more bytes are added."""
-        if self.failed or not self.has_partial:
+        if self.failed or not self.buffer:
             return None
         try:
             consumed, event = self.parse_command() if self.started else self.parse_startup()
@@ -129,7 +130,7 @@
             self.discard_all()
             return "wrong", error
         self.offset += consumed
-        if consumed and not self.has_partial:
+        if self.offset == len(self.buffer):
             self.discard_parsed()
         return event
 
@@ -152,7 +153,7 @@
         """Parses a message after the startup; returns (bytes consumed, event), or (0, None) on an incomplete
         message.
         """
-        size, kind = self.pending_bytes, self.buffer[self.offset]
+        size, kind = len(self.buffer) - self.offset, self.buffer[self.offset]
         if kind not in (0x51, 0x58):  # Q, X
             raise PgProtocolError("08P01", "only simple queries are taken here")
         if size < 5:
--- a/cobaltpond/wire/pg_responses.py
+++ b/cobaltpond/wire/pg_responses.py
@@ -138,52 +138,41 @@
         if self.ready:  # these bytes follow no query
             self.is_clean = False
             return
-        self.pending += data
+        if self.pending:
+            self.pending += data
+            if self.missing_bytes() > 0:  # copied once it is complete, not with each piece
+                return
+            data = bytes(self.pending)
         try:
-            self.handle_messages()
+            consumed = self.handle_messages(data)
         except PgProtocolError:
-            self.pending = bytearray()
+            self.pending.clear()
             if not self.done:
                 raise
             self.is_clean = False  # the response was complete before the fault
+            return
+        self.pending = bytearray(data[consumed:])
         if self.ready and self.pending:
             self.is_clean = False
 
-    def handle_messages(self) -> None:
-        """Handles the messages that have arrived whole. Raises PgProtocolError."""
-        offset = 0
-        try:
-            while offset < len(self.pending) and not self.ready:
-                length = self.message_length(offset)
-                if length is None or len(self.pending) - offset <= length:
-                    break
-                with memoryview(self.pending) as view:
-                    message = bytes(view[offset : offset + 1 + length])
-                offset += 1 + length
-                self.handle_message(message)
-        finally:
-            del self.pending[:offset]
+    def handle_messages(self, data: bytes) -> int:
+        """Handles the messages that have arrived whole, up to the end of the response, and returns their
+        bytes. Raises PgProtocolError.
+        """
+        offset, size = 0, len(data)
+        while offset < size and not self.ready:
+            length = message_length(data, offset)
+            if length is None or size - offset <= length:
+                break
+            self.handle_message(data[offset : offset + 1 + length])
+            offset += 1 + length
+        return offset
 
     def missing_bytes(self) -> int:
         """Returns how many bytes of the message that has begun are still to come; 0 where it is not known."""
-        length = self.message_length(0) if self.pending and not self.ready else None
+        length = message_length(self.pending, 0) if self.pending and not self.ready else None
         return 0 if length is None else length + 1 - len(self.pending)
 
-    def message_length(self, offset: int) -> int | None:
-        """Returns the length of the message at `offset`, its own four bytes included; None while it is
-        unknown.
-
-        The length is checked before the rest has arrived. Raises PgProtocolError.
-        """
-        if self.pending[offset] not in SERVER_MESSAGES:
-            raise PgProtocolError("08P01", f"no message begins with {self.pending[offset]:#x}")
-        if len(self.pending) - offset < HEADER_BYTES:
-            return None
-        (length,) = _UINT32.unpack_from(self.pending, offset + 1)
-        if not 4 <= length <= MAX_VALUE_BYTES + 64:
-            raise PgProtocolError("08P01", f"a message of {length} bytes")
-        return length
-
     def handle_message_before_barrier(self, kind: int, body: bytes) -> None:
         """Handles a message up to the end of the response to the barrier. Raises PgProtocolError."""
         barrier = self.barrier
@@ -239,6 +228,21 @@
         return kind == BACKEND_KEY_DATA and len(body) == KEY_DATA_BYTES
 
 
+def message_length(data: bytes | bytearray, offset: int) -> int | None:
+    """Returns the length of the message at `offset`, its own four bytes included; None while it is unknown.
+
+    The length is checked before the rest has arrived. Raises PgProtocolError.
+    """
+    if data[offset] not in SERVER_MESSAGES:
+        raise PgProtocolError("08P01", f"no message begins with {data[offset]:#x}")
+    if len(data) - offset < HEADER_BYTES:
+        return None
+    (length,) = _UINT32.unpack_from(data, offset + 1)
+    if not 4 <= length <= MAX_VALUE_BYTES + 64:
+        raise PgProtocolError("08P01", f"a message of {length} bytes")
+    return length
+
+
 def check_row(body: bytes) -> None:
     """Checks that a DataRow holds one value of an allowed size. Raises PgProtocolError."""
     count = int.from_bytes(body[:2], "big")
