A refusal for want of memory no longer passes for that of the request before it

What callers would see: a client with a request open and a large one behind it that waits in vain for memory got 53300 first and took it for the open one's: "trying again is harmless", although that one runs.

Cause: relieve_memory_once refused the connection at once, whether or not a hit was open on it.

Change: with a hit open the connection ends after its answer, and what waits behind it is refused then (end_after_answer).

Evidence: test_open_hit_gets_its_own_answer_when_the_command_behind_it_is_refused fails without the change on both kernels ([53300, nothing]) and passes with it.

--- a/cobaltpond/edge/frontend.py
+++ b/cobaltpond/edge/frontend.py
@@ -267,7 +267,10 @@
         ]
         for client in incomplete[:MAX_RELIEFS] + in_vain:
             self.increment("memory full")
-            client.refuse_connection(MEMORY_FULL)
+            if client.hit is not None:  # a refusal now would pass for that of the open hit
+                client.end_after_answer()
+            else:
+                client.refuse_connection(MEMORY_FULL)
 
     def half_close_idle(self, idle_time: int) -> None:
         """Closes connections that have had no open request for `idle_time` microseconds.
--- a/tests/test_edge_eviction.py
+++ b/tests/test_edge_eviction.py
@@ -3,6 +3,7 @@
 from pgworld import PgWorld, answer_script, good_answer, outcome_of, query_script, statement
 
 from cobaltpond.loop import Sleep
+from cobaltpond.wire import pg
 
 MS = 1000
 
@@ -51,3 +52,27 @@
         return seen, owner.pipelined_since is not None
 
     assert world.run(go()) == ([None] * 3, True)
+
+
+# Guards against a refusal that passes for the open hit's, which may run: a large command behind it waits in
+# vain for memory.
+def test_open_hit_gets_its_own_answer_when_the_command_behind_it_is_refused(each_kernel):
+    world = PgWorld(query_script(delayed_answer))
+    large = statement(2, "hold").replace(b"\\x9f03", b"\\x" + b"9f" * 60_000)
+
+    def go():
+        client, got = (yield from world.connect()), []
+        world.edge.budget.charge(world.edge.budget.capacity)
+        yield from client.send(statement(1, "pay", 700), start=True)
+        yield from world.until(lambda: world.received)
+        yield from client.connection.write(pg.query_message(large)[:1000])
+        (owner,) = world.edge.frontend.clients
+        yield from world.until(lambda: owner.input.is_waiting)
+        owner.input.reservation.requested_at -= 10_000 * MS
+        world.edge.frontend.relieve_memory_once()
+        yield from client.read()
+        for _ in range(2):
+            got.append(outcome_of((yield from client.read()))[0])
+        return got
+
+    assert world.run(go()) == ["delivered", "53300"]
